Lay out the libraries, the build and the shared headers

Cause: an empty repository, and several parts that are to be built side by side. Conclusion: the parts can start; the headers are the contract between them.

--- /dev/null
+++ b/Meta/Acaciavale.cmake
@@ -0,0 +1,44 @@
+# Functions that each folder's CMakeLists.txt calls. Sources are globbed, so a
+# new file needs no edit of a build file.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(gRPC CONFIG REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(CURL REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS log log_setup thread filesystem)
+find_package(benchmark REQUIRED)
+find_package(Catch2 QUIET)
+
+add_compile_options(-Wall -Wextra -Werror -Wno-psabi)
+add_compile_definitions(BOOST_LOG_DYN_LINK)
+
+# acaciavale_library(LibX link...) builds Libraries/LibX with its public headers
+# under include/Acaciavale/LibX.
+function(acaciavale_library NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}/*.cpp)
+  if(SOURCES)
+    add_library(${NAME} STATIC ${SOURCES})
+    set(SCOPE PUBLIC)
+    target_include_directories(${NAME} PRIVATE ${CMAKE_SOURCE_DIR}/Libraries)
+  else()
+    add_library(${NAME} INTERFACE)
+    set(SCOPE INTERFACE)
+  endif()
+  target_include_directories(${NAME} ${SCOPE} ${CMAKE_SOURCE_DIR}/include)
+  target_link_libraries(${NAME} ${SCOPE} ${ARGN} Threads::Threads)
+endfunction()
+
+# acaciavale_tests(LibX) builds Tests/LibX/*.cpp into TestLibX and registers it.
+function(acaciavale_tests NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}/*.cpp)
+  if(NOT SOURCES)
+    return()
+  endif()
+  add_executable(Test${NAME} TestMain.cpp ${SOURCES})
+  target_compile_definitions(Test${NAME} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
+  target_include_directories(Test${NAME} PRIVATE ${CMAKE_SOURCE_DIR}/Libraries ${CMAKE_SOURCE_DIR}/Tests)
+  target_link_libraries(Test${NAME} PRIVATE ${NAME} ${ARGN} CppUTest CppUTestExt rapidcheck)
+  add_test(NAME ${NAME} COMMAND Test${NAME})
+  set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
+endfunction()
--- /dev/null
+++ b/Meta/acaciavale.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# The project's one script: run | test | lint | measure | soak.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD="${ACACIAVALE_BUILD:-Build}"
+
+install_packages() {
+  local missing=()
+  while read -r package; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+  done < Meta/packages.txt
+  if [ "${#missing[@]}" -gt 0 ]; then
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" > /dev/null
+  fi
+}
+
+build() {
+  cmake -S . -B "$BUILD" -G Ninja > "$BUILD.configure.log" 2>&1 || { cat "$BUILD.configure.log"; return 1; }
+  rm -f "$BUILD.configure.log"
+  cmake --build "$BUILD" "$@"
+}
+
+lint() {
+  git ls-files '*.h' '*.cpp' | grep -v '^Libraries/LibGenerated/' | xargs clang-format --dry-run --Werror
+  cmake -S . -B "$BUILD" -G Ninja > /dev/null
+  git ls-files '*.cpp' | grep -v '^Libraries/LibGenerated/' |
+    xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$BUILD" 2> /dev/null
+}
+
+command="${1:-help}"
+shift || true
+case "$command" in
+  lint) install_packages; lint ;;
+  test) install_packages; build; ctest --test-dir "$BUILD" --output-on-failure "$@" ;;
+  build) install_packages; build "$@" ;;
+  run) install_packages; build > /dev/null; exec Meta/run.sh "$BUILD" ;;
+  measure) install_packages; build > /dev/null; exec Meta/measure.sh "$BUILD" "$@" ;;
+  soak) install_packages; build > /dev/null; exec Meta/soak.sh "$BUILD" "$@" ;;
+  *) echo "usage: Meta/acaciavale.sh run | test | lint | build | measure [SUBSET] | soak SECONDS SEED" ; exit 2 ;;
+esac
--- /dev/null
+++ b/include/Acaciavale/LibMembership/Membership.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <Acaciavale/LibBilling/BillEntry.h>
+#include <Acaciavale/LibCore/Error.h>
+#include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibPlatform/KeyValueStore.h>
+#include <Acaciavale/LibRouting/Evidence.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// Which VMs live, and what they tell each other. Membership saves work; no
+/// promise rests on it.
+namespace Acaciavale {
+
+/// What a VM says of itself in each digest.
+struct VmState
+{
+  std::string mName;
+  std::string mIncarnation;
+  std::string mCallerAddress; ///< For callers, IP number and port.
+  std::string mPeerAddress;   ///< For other VMs, IP number and port.
+  std::string mFailureDomain;
+  std::int64_t mWeight = 1; ///< Size of the VM.
+  bool mDraining = false;
+  std::int64_t mInFlight = 0;
+  std::int64_t mSettingsGeneration = 0;
+  bool mSeesStore = true;
+  std::uint64_t mHeartbeat = 0; ///< Rises with each digest of this VM.
+
+  auto operator<=>(const VmState&) const = default;
+};
+
+enum class VmHealth
+{
+  Alive,
+  Suspect,
+  Dead,
+};
+
+struct Member
+{
+  VmState mState;
+  VmHealth mHealth = VmHealth::Alive;
+
+  auto operator<=>(const Member&) const = default;
+};
+
+/// What this VM hands to the membership part.
+struct MembershipOptions
+{
+  std::string
+    mListenAddress; ///< IP number and port; port 0 lets the kernel choose.
+  VmState mSelf;
+  Duration mDigestPeriod = std::chrono::milliseconds(250);
+  Duration mSuspectAfter = std::chrono::milliseconds(1500);
+  Duration mDeadAfter = std::chrono::seconds(5);
+  std::size_t mFanOut = 3; ///< Peers that each digest goes to.
+  std::int64_t mBytesPerSecond = 4096;
+
+  auto operator<=>(const MembershipOptions&) const = default;
+};
+
+/// Called by the membership part, from its own threads.
+struct MembershipCallbacks
+{
+  std::function<VmState()> mSelf; ///< Current load, draining, generation.
+  /// The settings body of a generation that a peer asked for, or empty.
+  std::function<std::string(std::int64_t aGeneration)> mSettingsBody;
+  /// A peer has newer settings: the record as stored, to be checked and taken.
+  std::function<void(std::int64_t aGeneration, const std::string& aBody)>
+    mNewerSettings;
+  std::function<void(const std::vector<BillEntry>& aEntries)> mHoldEntries;
+  std::function<void(const Incarnation& aIncarnation, std::uint64_t aUpTo)>
+    mForgetEntries;
+  std::function<void(const Incarnation& aIncarnation)> mVmDead;
+  /// Evidence gathered here since the last call, for the others.
+  std::function<EvidenceView()> mTakeEvidence;
+  std::function<void(const EvidenceView& aEvidence)> mMergeEvidence;
+};
+
+/// gRPC between VMs: digests by gossip, settings, held bill entries.
+class Membership
+{
+public:
+  Membership(MembershipOptions aOptions,
+             MembershipCallbacks aCallbacks,
+             KeyValueStore aStore,
+             std::uint64_t aSeed);
+  ~Membership();
+
+  /// Starts the gRPC server and the threads; returns the address bound.
+  ErrorOr<std::string> Start();
+  /// Tells the peers that this VM leaves, and stops.
+  void Stop();
+
+  std::vector<Member> Members() const;
+  std::size_t LiveCount() const;
+  /// Peers by failure domain other than this VM's; returns how many distinct
+  /// domains acknowledged the entries.
+  std::size_t Replicate(const std::vector<BillEntry>& aEntries);
+  void TellForget(const Incarnation& aIncarnation, std::uint64_t aUpTo);
+  std::int64_t BytesSent() const;
+
+private:
+  struct Private;
+  std::unique_ptr<Private> mPrivate;
+};
+
+} // namespace Acaciavale
--- /dev/null
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Random.h>
+#include <Acaciavale/LibCore/Time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Chooses the endpoint that serves one dispatch.
+namespace Acaciavale {
+
+/// One endpoint as this VM sees it. Plain numbers only: the choice runs in
+/// microseconds over hundreds of these.
+struct EndpointView
+{
+  std::uint32_t mIndex = 0; ///< The caller's own number for it.
+  std::uint32_t mFailureDomain = 0;
+  bool mLeaving = false;
+  bool mEjected = false;
+  std::int32_t mOwnInFlight = 0;      ///< This VM's requests there, right now.
+  std::int32_t mReportedInFlight = 0; ///< Everybody's, as last reported.
+  std::int32_t mOwnInFlightAtReport = 0; ///< This VM's, when that was reported.
+  Duration mReportAge{};
+  double mSecondsPerRequest = 0; ///< Measured service time; 0 is unknown.
+  std::int32_t mSlots = 1;       ///< Requests that it serves at once.
+  double mPrefixShare = 0; ///< Share of this prompt that it has in its cache.
+  double mErrorShare = 0;  ///< Recent share of failures.
+
+  auto operator<=>(const EndpointView&) const = default;
+};
+
+/// What the choice has to know of the dispatch and of this VM.
+struct EndpointQuery
+{
+  std::uint32_t mFailureDomain = 0; ///< This VM's own.
+  std::uint32_t mLiveVms = 1;       ///< VMs that decide on the same reports.
+  double mPrefillSeconds = 0;       ///< What a whole cached prefix would save.
+  std::optional<std::uint32_t> mPreferred; ///< The session's last endpoint.
+  std::vector<std::uint32_t> mExcluded;    ///< Tried already.
+
+  auto operator<=>(const EndpointQuery&) const = default;
+};
+
+/// The decision; no index means that no endpoint may take the work.
+struct EndpointDecision
+{
+  std::optional<std::uint32_t> mIndex;
+  double mScore = 0;        ///< Expected seconds until served.
+  std::string_view mReason; ///< A constant.
+
+  auto operator<=>(const EndpointDecision&) const = default;
+};
+
+EndpointDecision ChooseEndpoint(const std::vector<EndpointView>& aEndpoints,
+                                const EndpointQuery& aQuery,
+                                Random& aRandom);
+
+} // namespace Acaciavale
