Read the tree of settings

Cause: the server and all decisions need effective settings. Change: one table of settings; a scan by libinih that reports every line that is not INI; a tree by section path with inheritance, include files and narrowing; values with units; checks across sections; key hashes.

--- /dev/null
+++ b/Libraries/LibSettings/IniScan.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Findings.h>
+#include <Acaciavale/LibSettings/SettingsReader.h>
+
+#include <string>
+#include <vector>
+
+/// One INI file as a list of sections and values with their lines.
+namespace Acaciavale {
+
+struct IniEntry
+{
+  std::string mKey;
+  std::string mValue;
+  Place mPlace;
+};
+
+/// A section as written; the first, without a header, has an empty name.
+struct IniSection
+{
+  std::string mHeader;
+  Place mPlace;
+  std::vector<IniEntry> mEntries;
+};
+
+struct IniScan
+{
+  std::vector<IniSection> mSections;
+  Findings mFindings;
+};
+
+/// Scans one file and reports every line that is not INI.
+IniScan ScanIni(const SettingsFile& aFile);
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibSettings/SettingsTree.cpp
@@ -0,0 +1,155 @@
+#include <Acaciavale/LibSettings/SettingsTree.h>
+
+#include "IniScan.h"
+#include "Text.h"
+#include "TreeBuilder.h"
+#include "Values.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Acaciavale {
+
+namespace {
+
+/// The section above by path alone, whether or not it is written.
+std::optional<SectionName> PathParent(const SectionName& aName)
+{
+  if (aName.mPath.empty()) {
+    if (aName.mKind == SectionKind::Version) {
+      return SectionName{ SectionKind::Model, "" };
+    }
+    if (aName.mKind == SectionKind::Route) {
+      return SectionName{ SectionKind::Service, "" };
+    }
+    return std::nullopt;
+  }
+  const std::size_t slash = aName.mPath.rfind('/');
+  const std::string above =
+    slash == std::string::npos ? "" : aName.mPath.substr(0, slash);
+  if (aName.mKind == SectionKind::Version) {
+    return SectionName{ SectionKind::Model, above };
+  }
+  if (aName.mKind == SectionKind::Route) {
+    return SectionName{ SectionKind::Service, above };
+  }
+  return SectionName{ aName.mKind, above };
+}
+
+bool States(const SettingsTree& aTree,
+            const SectionName& aName,
+            const std::string& aKey)
+{
+  const auto found = aTree.mSections.find(aName);
+  return found != aTree.mSections.end() && found->second.mValues.contains(aKey);
+}
+
+void AddOrigin(const SettingsTree& aTree,
+               const SectionName& aName,
+               const SettingRow& aRow,
+               std::vector<Origin>& aChain)
+{
+  if (FindRow(aName.mKind, aRow.mName) && States(aTree, aName, aRow.mName)) {
+    aChain.push_back(
+      { aName, aTree.mSections.at(aName).mValues.at(aRow.mName) });
+  }
+}
+
+} // namespace
+
+std::string Describe(const SectionName& aName)
+{
+  return aName.mPath.empty() ? NameOf(aName.mKind)
+                             : NameOf(aName.mKind) + " " + aName.mPath;
+}
+
+std::optional<SectionName> ParseSectionName(const std::string& aText)
+{
+  const std::size_t space = std::min(aText.find(' '), aText.size());
+  const auto kind = SectionKindNamed(aText.substr(0, space));
+  if (!kind) {
+    return std::nullopt;
+  }
+  return SectionName{ *kind, Trimmed(aText.substr(space)) };
+}
+
+std::optional<SectionName> ParentOf(const SettingsTree& aTree,
+                                    const SectionName& aName)
+{
+  if (aName.mKind == SectionKind::Account && States(aTree, aName, "inherits")) {
+    return SectionName{
+      SectionKind::Account,
+      aTree.mSections.at(aName).mValues.at("inherits").mText
+    };
+  }
+  return PathParent(aName);
+}
+
+std::vector<SectionName> AncestorsOf(const SettingsTree& aTree,
+                                     const SectionName& aName)
+{
+  std::vector<SectionName> ancestors;
+  std::set<SectionName> seen{ aName };
+  auto parent = ParentOf(aTree, aName);
+  while (parent && seen.insert(*parent).second) {
+    ancestors.push_back(*parent);
+    parent = ParentOf(aTree, *parent);
+  }
+  return ancestors;
+}
+
+bool IsGroup(const SettingsTree& aTree, const SectionName& aName)
+{
+  return std::any_of(
+    aTree.mSections.begin(), aTree.mSections.end(), [&](const auto& aOther) {
+      return aOther.first.mKind == aName.mKind && aOther.first != aName &&
+             ParentOf(aTree, aOther.first) == aName;
+    });
+}
+
+EffectiveValue Effective(const SettingsTree& aTree,
+                         const SectionName& aName,
+                         const SettingRow& aRow)
+{
+  EffectiveValue value{ aRow, aRow.mDefault, {} };
+  AddOrigin(aTree, aName, aRow, value.mChain);
+  if (aRow.mInherited) {
+    for (const SectionName& ancestor : AncestorsOf(aTree, aName)) {
+      AddOrigin(aTree, ancestor, aRow, value.mChain);
+    }
+  }
+  if (!value.mChain.empty()) {
+    value.mText = value.mChain.front().mValue.mText;
+  }
+  return value;
+}
+
+std::vector<EffectiveValue> EffectiveOf(const SettingsTree& aTree,
+                                        const SectionName& aName)
+{
+  std::vector<EffectiveValue> values;
+  for (const SettingRow& row : RowsOf(aName.mKind)) {
+    values.push_back(Effective(aTree, aName, row));
+  }
+  return values;
+}
+
+std::string Shown(const SettingRow& aRow, const std::string& aText)
+{
+  return aRow.mType == SettingType::Secret && !aText.empty() ? "(hidden)"
+                                                             : aText;
+}
+
+TreeReading ReadSettingsTree(const std::vector<SettingsFile>& aFiles)
+{
+  TreeBuilder builder;
+  for (const SettingsFile& file : aFiles) {
+    builder.AddFile(file.mName, ScanIni(file));
+  }
+  if (aFiles.empty()) {
+    return { {}, { { { "", 0 }, "no file of settings was given" } } };
+  }
+  return builder.Build();
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibSettings/TreeBuilder.cpp
@@ -0,0 +1,335 @@
+#include "TreeBuilder.h"
+#include "Text.h"
+#include "Values.h"
+
+#include <Acaciavale/LibSettings/SettingsFiles.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Acaciavale {
+
+namespace {
+
+std::vector<std::string> KindNames()
+{
+  std::vector<std::string> names;
+  for (const SectionKind kind : AllSectionKinds()) {
+    names.push_back(NameOf(kind));
+  }
+  return names;
+}
+
+std::vector<std::string> KeyNames(SectionKind aKind)
+{
+  std::vector<std::string> names;
+  for (const SettingRow& row : RowsOf(aKind)) {
+    names.push_back(row.mName);
+  }
+  return names;
+}
+
+std::string At(const Place& aPlace)
+{
+  return aPlace.mFile + ":" + std::to_string(aPlace.mLine);
+}
+
+/// How many segments a path of this kind has; 0 is any number.
+std::size_t SegmentsOf(SectionKind aKind)
+{
+  switch (aKind) {
+    case SectionKind::Version:
+    case SectionKind::Route:
+      return 2;
+    case SectionKind::Account:
+      return 0;
+    default:
+      return 1;
+  }
+}
+
+/// The first name that the parent does not allow, or an empty text.
+std::string NameBeyond(const std::string& aChild, const std::string& aParent)
+{
+  const auto allowed = SplitList(aParent);
+  for (const std::string& name : SplitList(aChild)) {
+    if (std::find(allowed.begin(), allowed.end(), name) == allowed.end()) {
+      return name;
+    }
+  }
+  return "";
+}
+
+/// What the child's value allows beyond its parent's, or an empty text.
+std::string Beyond(const SettingRow& aRow,
+                   const std::string& aChild,
+                   const std::string& aParent)
+{
+  switch (aRow.mNarrowing) {
+    case Narrowing::Free:
+      return "";
+    case Narrowing::Subset:
+      // NOTE: An empty list of versions allows all, so emptying it widens.
+      if (aRow.mName == "versions" && SplitList(aChild).empty() &&
+          !SplitList(aParent).empty()) {
+        return "every version";
+      }
+      if (aRow.mName == "versions" && SplitList(aParent).empty()) {
+        return "";
+      }
+      return NameBeyond(aChild, aParent);
+    case Narrowing::AtMost:
+      return Magnitude(aRow.mType, aChild) > Magnitude(aRow.mType, aParent)
+               ? aChild
+               : "";
+    case Narrowing::NotBefore:
+      return WordIndex(aRow.mType, aChild) < WordIndex(aRow.mType, aParent)
+               ? aChild
+               : "";
+  }
+  return "";
+}
+
+} // namespace
+
+void TreeBuilder::Report(const Place& aPlace, std::string aMessage)
+{
+  mFindings.push_back({ aPlace, std::move(aMessage) });
+}
+
+void TreeBuilder::AddFile(const std::string& aName, const IniScan& aScan)
+{
+  if (mIncludes.contains(aName)) {
+    Report({ aName, 0 }, "the file is given twice");
+    return;
+  }
+  mIncludes[aName];
+  mFindings.insert(
+    mFindings.end(), aScan.mFindings.begin(), aScan.mFindings.end());
+  for (const IniSection& section : aScan.mSections) {
+    if (!section.mHeader.empty() || section.mPlace.mLine > 0) {
+      AddSection(section);
+      continue;
+    }
+    for (const IniEntry& entry : section.mEntries) {
+      AddInclude(aName, entry);
+    }
+  }
+}
+
+void TreeBuilder::AddInclude(const std::string& aFile, const IniEntry& aEntry)
+{
+  if (aEntry.mKey != "include") {
+    Report(aEntry.mPlace,
+           "\"" + aEntry.mKey +
+             "\" stands before any section; only include is allowed there");
+    return;
+  }
+  if (aEntry.mValue.empty() || aEntry.mValue[0] == '/') {
+    Report(aEntry.mPlace,
+           "\"" + aEntry.mValue +
+             "\" cannot be included; allowed is a path relative to this file");
+    return;
+  }
+  mIncludes[aFile].push_back(
+    { IncludedName(aFile, aEntry.mValue), aEntry.mPlace });
+}
+
+bool TreeBuilder::IsPathAllowed(const SectionName& aName, const Place& aPlace)
+{
+  const auto segments = SplitList(aName.mPath, '/');
+  const std::size_t wanted = SegmentsOf(aName.mKind);
+  if (!std::all_of(segments.begin(), segments.end(), IsName)) {
+    Report(aPlace,
+           "\"" + aName.mPath +
+             "\" is not a path; allowed are names of letters, digits, '-', "
+             "'_' and '.', separated by '/'");
+    return false;
+  }
+  if (segments.empty()) {
+    const bool allowed =
+      aName.mKind != SectionKind::Version && aName.mKind != SectionKind::Route;
+    if (!allowed) {
+      Report(aPlace,
+             "[" + NameOf(aName.mKind) + "] needs a path; defaults go into [" +
+               (aName.mKind == SectionKind::Version ? "model" : "service") +
+               "]");
+    }
+    return allowed;
+  }
+  if (aName.mKind == SectionKind::Deployment) {
+    Report(aPlace, "[deployment] takes no name; state it as name = …");
+    return false;
+  }
+  if (wanted != 0 && segments.size() != wanted) {
+    Report(aPlace,
+           "[" + Describe(aName) + "] has " + std::to_string(segments.size()) +
+             " names in its path; a " + NameOf(aName.mKind) + " has " +
+             std::to_string(wanted));
+    return false;
+  }
+  return true;
+}
+
+void TreeBuilder::AddSection(const IniSection& aSection)
+{
+  const auto name = ParseSectionName(aSection.mHeader);
+  if (!name) {
+    const std::string word =
+      aSection.mHeader.substr(0, aSection.mHeader.find(' '));
+    Report(aSection.mPlace,
+           "unknown kind of section \"" + word + "\"; allowed are " +
+             Joined(KindNames(), ", ") + Suggestion(word, KindNames()));
+    return;
+  }
+  if (!IsPathAllowed(*name, aSection.mPlace)) {
+    return;
+  }
+  const auto [found, isNew] =
+    mTree.mSections.insert({ *name, { *name, aSection.mPlace, {} } });
+  if (!isNew) {
+    Report(aSection.mPlace,
+           "[" + Describe(*name) + "] stands already at " +
+             At(found->second.mPlace));
+  }
+  for (const IniEntry& entry : aSection.mEntries) {
+    AddEntry(found->second, entry);
+  }
+}
+
+void TreeBuilder::AddEntry(TreeSection& aSection, const IniEntry& aEntry)
+{
+  const auto row = FindRow(aSection.mName.mKind, aEntry.mKey);
+  if (!row) {
+    const auto known = KeyNames(aSection.mName.mKind);
+    Report(aEntry.mPlace,
+           "unknown key \"" + aEntry.mKey + "\" in [" +
+             Describe(aSection.mName) + "]; allowed are " +
+             Joined(known, ", ") + Suggestion(aEntry.mKey, known));
+    return;
+  }
+  const auto [found, isNew] =
+    aSection.mValues.insert({ aEntry.mKey, { aEntry.mValue, aEntry.mPlace } });
+  if (!isNew) {
+    Report(aEntry.mPlace,
+           aEntry.mKey + " is stated already at " + At(found->second.mPlace));
+    return;
+  }
+  if (const auto wrong = WrongValue(*row, aEntry.mValue)) {
+    Report(aEntry.mPlace, *wrong);
+  }
+}
+
+void TreeBuilder::CheckIncludes()
+{
+  for (const auto& [file, includes] : mIncludes) {
+    for (const Include& include : includes) {
+      if (!mIncludes.contains(include.mTarget)) {
+        Report(include.mPlace,
+               "the included file " + include.mTarget + " is not there");
+        continue;
+      }
+      std::set<std::string> reached;
+      std::vector<std::string> open{ include.mTarget };
+      while (!open.empty()) {
+        const std::string next = open.back();
+        open.pop_back();
+        if (!reached.insert(next).second) {
+          continue;
+        }
+        const auto found = mIncludes.find(next);
+        if (found != mIncludes.end()) {
+          for (const Include& further : found->second) {
+            open.push_back(further.mTarget);
+          }
+        }
+      }
+      if (reached.contains(file)) {
+        Report(include.mPlace,
+               "including " + include.mTarget + " leads back to " + file);
+      }
+    }
+  }
+}
+
+void TreeBuilder::CheckCycle(const SectionName& aName, const Place& aPlace)
+{
+  const auto ancestors = AncestorsOf(mTree, aName);
+  const SectionName last = ancestors.empty() ? aName : ancestors.back();
+  if (ParentOf(mTree, last) == aName) {
+    Report(aPlace, "[" + Describe(aName) + "] inherits from itself");
+  }
+}
+
+void TreeBuilder::CheckParents()
+{
+  for (const auto& [name, section] : mTree.mSections) {
+    const auto parent = ParentOf(mTree, name);
+    if (parent && !parent->mPath.empty() &&
+        !mTree.mSections.contains(*parent)) {
+      std::vector<std::string> known;
+      for (const auto& [other, unused] : mTree.mSections) {
+        if (other.mKind == parent->mKind && other != name) {
+          known.push_back(other.mPath);
+        }
+      }
+      Report(section.mPlace,
+             "[" + Describe(name) + "] inherits from [" + Describe(*parent) +
+               "], which is not there" + Suggestion(parent->mPath, known));
+    }
+    CheckCycle(name, section.mPlace);
+  }
+}
+
+void TreeBuilder::CheckNarrowing(const SectionName& aName,
+                                 const SettingRow& aRow)
+{
+  const EffectiveValue value = Effective(mTree, aName, aRow);
+  if (value.mChain.size() < 2 || value.mChain[0].mSection != aName) {
+    return;
+  }
+  const Origin& child = value.mChain[0];
+  const Origin& parent = value.mChain[1];
+  if (WrongValue(aRow, child.mValue.mText) ||
+      WrongValue(aRow, parent.mValue.mText)) {
+    return;
+  }
+  const std::string beyond =
+    Beyond(aRow, child.mValue.mText, parent.mValue.mText);
+  if (beyond.empty()) {
+    return;
+  }
+  const auto& stated = mTree.mSections.at(parent.mSection).mValues;
+  const auto widen = stated.find("children-may-widen");
+  if (widen != stated.end() &&
+      NameBeyond(aRow.mName, widen->second.mText).empty()) {
+    return;
+  }
+  Report(child.mValue.mPlace,
+         aRow.mName + " allows " + beyond + ", which [" +
+           Describe(parent.mSection) + "] does not (" +
+           At(parent.mValue.mPlace) + ": " + parent.mValue.mText +
+           "); a child may only narrow it");
+}
+
+void TreeBuilder::CheckNarrowing()
+{
+  for (const auto& [name, section] : mTree.mSections) {
+    for (const SettingRow& row : RowsOf(name.mKind)) {
+      if (row.mNarrowing != Narrowing::Free &&
+          section.mValues.contains(row.mName)) {
+        CheckNarrowing(name, row);
+      }
+    }
+  }
+}
+
+TreeReading TreeBuilder::Build()
+{
+  CheckIncludes();
+  CheckParents();
+  CheckNarrowing();
+  return { std::move(mTree), Sorted(std::move(mFindings)) };
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibSettings/TreeBuilder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "IniScan.h"
+
+#include <Acaciavale/LibSettings/SettingsTree.h>
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Acaciavale {
+
+/// Builds the tree from scanned files and collects what is wrong with it.
+class TreeBuilder
+{
+public:
+  void AddFile(const std::string& aName, const IniScan& aScan);
+  TreeReading Build();
+
+private:
+  struct Include
+  {
+    std::string mTarget;
+    Place mPlace;
+  };
+
+  void Report(const Place& aPlace, std::string aMessage);
+  void AddInclude(const std::string& aFile, const IniEntry& aEntry);
+  void AddSection(const IniSection& aSection);
+  void AddEntry(TreeSection& aSection, const IniEntry& aEntry);
+  bool IsPathAllowed(const SectionName& aName, const Place& aPlace);
+  void CheckIncludes();
+  void CheckParents();
+  void CheckCycle(const SectionName& aName, const Place& aPlace);
+  void CheckNarrowing();
+  void CheckNarrowing(const SectionName& aName, const SettingRow& aRow);
+
+  SettingsTree mTree;
+  Findings mFindings;
+  std::map<std::string, std::vector<Include>> mIncludes;
+};
+
+} // namespace Acaciavale
