Add a key-value store fake for the unit tests

Cause: claims, ledgers and membership need a store with faults to test against. Change: a header-only fake with switches for an outage, failed reads and writes, and writes whose request or answer is lost.

--- /dev/null
+++ b/Tests/LibPlatform/FakeKeyValueStore.h
@@ -0,0 +1,266 @@
+#pragma once
+
+#include <Acaciavale/LibPlatform/KeyValueStore.h>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Acaciavale {
+
+/// What the fake does wrong, and how often.
+struct FakeStoreFaults
+{
+  bool mDown = false; ///< Every call fails as Unavailable; nothing is written.
+  /// This many of the next writes fail as Unavailable without effect.
+  int mFailWrites = 0;
+  /// This many of the next writes take effect, but answer OutcomeUnknown.
+  int mLoseAnswers = 0;
+  /// This many of the next writes do nothing, but answer OutcomeUnknown.
+  int mLoseRequests = 0;
+  /// This many of the next reads fail as Unavailable.
+  int mFailReads = 0;
+};
+
+/// The calls that the fake was asked for.
+struct FakeStoreCounts
+{
+  int mReads = 0;
+  int mWrites = 0;
+};
+
+/// A key-value service in memory, for tests. Thread-safe. Leases lapse only
+/// when a test says so, so that no test depends on time.
+class FakeKeyValueStore
+{
+public:
+  /// Operations on this fake; valid as long as the fake lives.
+  KeyValueStore Store()
+  {
+    KeyValueStore store;
+    store.mRead = [this](const std::string& aKey) { return Read(aKey); };
+    store.mList = [this](const std::string& aPrefix) { return List(aPrefix); };
+    store.mCompareAndSwap = [this](const CompareAndSwap& aWrite) {
+      return Write(aWrite);
+    };
+    store.mRemove = [this](const std::string& aKey, std::int64_t aExpected) {
+      return Remove(aKey, aExpected);
+    };
+    store.mWatch =
+      [this](const std::string& aPrefix, std::int64_t aAfter, Duration aWait) {
+        return Watch(aPrefix, aAfter, aWait);
+      };
+    store.mGrantLease = [this](Duration) { return GrantLease(); };
+    store.mKeepLease = [this](std::int64_t aLease) {
+      return KeepLease(aLease);
+    };
+    store.mRevokeLease = [this](std::int64_t aLease) -> ErrorOr<void> {
+      LapseLease(aLease);
+      return {};
+    };
+    return store;
+  }
+
+  void SetFaults(FakeStoreFaults aFaults)
+  {
+    const std::lock_guard lock(mMutex);
+    mFaults = aFaults;
+  }
+
+  void SetDown(bool aDown)
+  {
+    const std::lock_guard lock(mMutex);
+    mFaults.mDown = aDown;
+  }
+
+  FakeStoreCounts Counts() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mCounts;
+  }
+
+  /// Removes the keys of this lease, as the service does when it lapses.
+  void LapseLease(std::int64_t aLease)
+  {
+    const std::lock_guard lock(mMutex);
+    mLeases.erase(aLease);
+    for (auto entry = mEntries.begin(); entry != mEntries.end();) {
+      if (aLease != 0 && entry->second.mLease == aLease) {
+        entry = mEntries.erase(entry);
+        ++mRevision;
+      } else {
+        ++entry;
+      }
+    }
+    mChanged.notify_all();
+  }
+
+private:
+  struct Stored
+  {
+    KeyValueEntry mEntry;
+    std::int64_t mLease = 0;
+  };
+
+  static bool Spend(int& aCount)
+  {
+    if (aCount <= 0) {
+      return false;
+    }
+    --aCount;
+    return true;
+  }
+
+  bool ReadFails()
+  {
+    ++mCounts.mReads;
+    return mFaults.mDown || Spend(mFaults.mFailReads);
+  }
+
+  ErrorOr<std::optional<KeyValueEntry>> Read(const std::string& aKey)
+  {
+    const std::lock_guard lock(mMutex);
+    if (ReadFails()) {
+      return MakeError(ErrorCode::Unavailable, "The store is down.");
+    }
+    const auto found = mEntries.find(aKey);
+    if (found == mEntries.end()) {
+      return std::optional<KeyValueEntry>{};
+    }
+    return std::optional<KeyValueEntry>{ found->second.mEntry };
+  }
+
+  std::vector<KeyValueEntry> Under(const std::string& aPrefix,
+                                   std::int64_t aAfter) const
+  {
+    std::vector<KeyValueEntry> entries;
+    for (auto entry = mEntries.lower_bound(aPrefix);
+         entry != mEntries.end() && entry->first.starts_with(aPrefix);
+         ++entry) {
+      if (entry->second.mEntry.mRevision > aAfter) {
+        entries.push_back(entry->second.mEntry);
+      }
+    }
+    return entries;
+  }
+
+  ErrorOr<std::vector<KeyValueEntry>> List(const std::string& aPrefix)
+  {
+    const std::lock_guard lock(mMutex);
+    if (ReadFails()) {
+      return MakeError(ErrorCode::Unavailable, "The store is down.");
+    }
+    return Under(aPrefix, 0);
+  }
+
+  ErrorOr<std::vector<KeyValueEntry>> Watch(const std::string& aPrefix,
+                                            std::int64_t aAfter,
+                                            Duration aWait)
+  {
+    std::unique_lock lock(mMutex);
+    if (ReadFails()) {
+      return MakeError(ErrorCode::Unavailable, "The store is down.");
+    }
+    std::vector<KeyValueEntry> entries;
+    mChanged.wait_for(lock, aWait, [&] {
+      entries = Under(aPrefix, aAfter);
+      return !entries.empty();
+    });
+    return entries;
+  }
+
+  /// The error that stands in the way of a write, if any.
+  ErrorOr<void> BeforeWrite(const std::string& aKey, std::int64_t aExpected)
+  {
+    ++mCounts.mWrites;
+    if (mFaults.mDown || Spend(mFaults.mFailWrites)) {
+      return MakeError(ErrorCode::Unavailable, "The store is down.");
+    }
+    if (Spend(mFaults.mLoseRequests)) {
+      return MakeError(ErrorCode::OutcomeUnknown, "The answer was lost.");
+    }
+    const auto found = mEntries.find(aKey);
+    const std::int64_t current =
+      found == mEntries.end() ? 0 : found->second.mEntry.mRevision;
+    if (current != aExpected) {
+      return MakeError(ErrorCode::Conflict, "The revision has changed.");
+    }
+    return {};
+  }
+
+  ErrorOr<void> AfterWrite()
+  {
+    mChanged.notify_all();
+    if (Spend(mFaults.mLoseAnswers)) {
+      return MakeError(ErrorCode::OutcomeUnknown, "The answer was lost.");
+    }
+    return {};
+  }
+
+  ErrorOr<std::int64_t> Write(const CompareAndSwap& aWrite)
+  {
+    const std::lock_guard lock(mMutex);
+    if (auto done = BeforeWrite(aWrite.mKey, aWrite.mExpectedRevision); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    if (aWrite.mLease != 0 && !mLeases.contains(aWrite.mLease)) {
+      return MakeError(ErrorCode::Conflict, "The lease has lapsed.");
+    }
+    const std::int64_t revision = ++mRevision;
+    mEntries[aWrite.mKey] = { { aWrite.mKey, aWrite.mValue, revision },
+                              aWrite.mLease };
+    if (auto done = AfterWrite(); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    return revision;
+  }
+
+  ErrorOr<void> Remove(const std::string& aKey, std::int64_t aExpected)
+  {
+    const std::lock_guard lock(mMutex);
+    if (auto done = BeforeWrite(aKey, aExpected); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    mEntries.erase(aKey);
+    ++mRevision;
+    return AfterWrite();
+  }
+
+  ErrorOr<std::int64_t> GrantLease()
+  {
+    const std::lock_guard lock(mMutex);
+    if (mFaults.mDown) {
+      return MakeError(ErrorCode::Unavailable, "The store is down.");
+    }
+    const std::int64_t lease = ++mLastLease;
+    mLeases.insert(lease);
+    return lease;
+  }
+
+  ErrorOr<void> KeepLease(std::int64_t aLease)
+  {
+    const std::lock_guard lock(mMutex);
+    if (mFaults.mDown) {
+      return MakeError(ErrorCode::Unavailable, "The store is down.");
+    }
+    if (!mLeases.contains(aLease)) {
+      return MakeError(ErrorCode::NotFound, "The lease has lapsed.");
+    }
+    return {};
+  }
+
+  mutable std::mutex mMutex;
+  std::condition_variable mChanged;
+  FakeStoreFaults mFaults;
+  FakeStoreCounts mCounts;
+  std::map<std::string, Stored> mEntries;
+  std::set<std::int64_t> mLeases;
+  std::int64_t mRevision = 0;
+  std::int64_t mLastLease = 0;
+};
+
+} // namespace Acaciavale
