Store settings under a root changed by CAS

Cause: operators race, answers get lost, and no VM may step back a generation. Change: bodies are immutable under their digest, the root moves by CAS from the generation seen, and the root that is superseded is in the history before it moves. So a writer whose answer was lost knows its fate even when another generation came after. SettingsHolder keeps the generation in force on a VM.

--- /dev/null
+++ b/Libraries/LibSettings/SettingsHolder.cpp
@@ -0,0 +1,130 @@
+#include <Acaciavale/LibSettings/SettingsHolder.h>
+
+#include <Acaciavale/LibSettings/SettingsReader.h>
+
+#include <mutex>
+
+namespace Acaciavale {
+
+namespace {
+
+/// One generation with all that is asked of it, built once.
+struct Held
+{
+  std::shared_ptr<const Settings> mSettings;
+  std::shared_ptr<const StoredSettings> mStored;
+  std::string mRecord;
+};
+
+ErrorOr<Held> MakeHeld(const StoredSettings& aStored)
+{
+  SettingsReading reading = ReadSettings(aStored.mFiles);
+  if (!reading.mSettings) {
+    return MakeError(ErrorCode::Invalid,
+                     "Generation " + std::to_string(aStored.mRoot.mGeneration) +
+                       " has findings; the first is " +
+                       Describe(reading.mFindings.front()));
+  }
+  reading.mSettings->mGeneration = aStored.mRoot.mGeneration;
+  reading.mSettings->mDigest = aStored.mRoot.mDigest;
+  return Held{ std::make_shared<const Settings>(std::move(*reading.mSettings)),
+               std::make_shared<const StoredSettings>(aStored),
+               SerialiseRecord(aStored) };
+}
+
+} // namespace
+
+struct SettingsHolder::Private
+{
+  mutable std::mutex mMutex;
+  Held mHeld;
+
+  std::int64_t Generation() const
+  {
+    return mHeld.mSettings ? mHeld.mSettings->mGeneration : 0;
+  }
+
+  /// Whether this generation would be news; Conflict where the same one in
+  /// force is another. The caller holds the lock.
+  ErrorOr<bool> IsNews(const SettingsRoot& aRoot) const
+  {
+    if (aRoot.mGeneration == Generation() && mHeld.mStored &&
+        mHeld.mStored->mRoot.mChain != aRoot.mChain) {
+      return MakeError(ErrorCode::Conflict,
+                       "Two different records carry generation " +
+                         std::to_string(aRoot.mGeneration) + ".");
+    }
+    return aRoot.mGeneration > Generation();
+  }
+};
+
+SettingsHolder::SettingsHolder()
+  : mPrivate(std::make_unique<Private>())
+{
+}
+
+SettingsHolder::~SettingsHolder() = default;
+
+std::shared_ptr<const Settings> SettingsHolder::Current() const
+{
+  const std::lock_guard lock(mPrivate->mMutex);
+  return mPrivate->mHeld.mSettings;
+}
+
+std::int64_t SettingsHolder::Generation() const
+{
+  const std::lock_guard lock(mPrivate->mMutex);
+  return mPrivate->Generation();
+}
+
+std::string SettingsHolder::Record(std::int64_t aGeneration) const
+{
+  const std::lock_guard lock(mPrivate->mMutex);
+  return mPrivate->Generation() == aGeneration ? mPrivate->mHeld.mRecord : "";
+}
+
+std::shared_ptr<const StoredSettings> SettingsHolder::Stored() const
+{
+  const std::lock_guard lock(mPrivate->mMutex);
+  return mPrivate->mHeld.mStored;
+}
+
+ErrorOr<bool> SettingsHolder::Offer(std::int64_t aGeneration,
+                                    const std::string& aRecord)
+{
+  if (aGeneration < Generation()) {
+    return false;
+  }
+  const StoredSettings stored = ACACIAVALE_TRY(ParseRecord(aRecord));
+  if (stored.mRoot.mGeneration != aGeneration) {
+    return MakeError(ErrorCode::Invalid,
+                     "The record is of another generation than was said.");
+  }
+  return Offer(stored);
+}
+
+ErrorOr<bool> SettingsHolder::Offer(const StoredSettings& aSettings)
+{
+  const auto checked = CheckRecord(aSettings);
+  if (!checked) {
+    return tl::make_unexpected(checked.error());
+  }
+  {
+    const std::lock_guard lock(mPrivate->mMutex);
+    const bool isNews = ACACIAVALE_TRY(mPrivate->IsNews(aSettings.mRoot));
+    if (!isNews) {
+      return false;
+    }
+  }
+  // NOTE: Reading takes milliseconds, so it runs without the lock; another
+  //       thread may take a newer generation meanwhile.
+  Held held = ACACIAVALE_TRY(MakeHeld(aSettings));
+  const std::lock_guard lock(mPrivate->mMutex);
+  const bool isNews = ACACIAVALE_TRY(mPrivate->IsNews(aSettings.mRoot));
+  if (isNews) {
+    mPrivate->mHeld = std::move(held);
+  }
+  return isNews;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibSettings/SettingsRecord.cpp
@@ -0,0 +1,140 @@
+#include <Acaciavale/LibSettings/SettingsRecord.h>
+
+#include "Digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Acaciavale {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json FilesToJson(const std::vector<SettingsFile>& aFiles)
+{
+  Json files = Json::array();
+  for (const SettingsFile& file : aFiles) {
+    files.push_back({ { "name", file.mName }, { "text", file.mText } });
+  }
+  return files;
+}
+
+std::vector<SettingsFile> FilesFromJson(const Json& aJson)
+{
+  std::vector<SettingsFile> files;
+  for (const Json& file : aJson) {
+    files.push_back({ file.at("name"), file.at("text") });
+  }
+  return files;
+}
+
+Json RootToJson(const SettingsRoot& aRoot)
+{
+  return { { "generation", aRoot.mGeneration },
+           { "digest", aRoot.mDigest },
+           { "chunks", aRoot.mChunks },
+           { "author", aRoot.mAuthor },
+           { "reason", aRoot.mReason },
+           { "time_ms", aRoot.mTime.count() },
+           { "previous_chain", aRoot.mPreviousChain },
+           { "chain", aRoot.mChain },
+           { "nonce", aRoot.mNonce } };
+}
+
+SettingsRoot RootFromJson(const Json& aJson)
+{
+  SettingsRoot root;
+  root.mGeneration = aJson.at("generation").get<std::int64_t>();
+  root.mDigest = aJson.at("digest").get<std::string>();
+  root.mChunks = aJson.at("chunks").get<std::int64_t>();
+  root.mAuthor = aJson.at("author").get<std::string>();
+  root.mReason = aJson.at("reason").get<std::string>();
+  root.mTime = UnixMilliseconds(aJson.at("time_ms").get<std::int64_t>());
+  root.mPreviousChain = aJson.at("previous_chain").get<std::string>();
+  root.mChain = aJson.at("chain").get<std::string>();
+  root.mNonce = aJson.at("nonce").get<std::string>();
+  return root;
+}
+
+/// Runs a reading of JSON and turns its exceptions into an error.
+template<typename Read>
+auto Reading(const char* aWhat, const std::string& aText, Read aRead)
+  -> ErrorOr<decltype(aRead(Json()))>
+{
+  try {
+    return aRead(Json::parse(aText));
+  } catch (const Json::exception&) {
+    return MakeError(ErrorCode::Invalid,
+                     std::string("The ") + aWhat + " cannot be read.");
+  }
+}
+
+} // namespace
+
+std::string SerialiseFiles(const std::vector<SettingsFile>& aFiles)
+{
+  return FilesToJson(aFiles).dump();
+}
+
+ErrorOr<std::vector<SettingsFile>> ParseFiles(const std::string& aText)
+{
+  return Reading("body of the settings", aText, FilesFromJson);
+}
+
+std::string SerialiseRoot(const SettingsRoot& aRoot)
+{
+  return RootToJson(aRoot).dump();
+}
+
+ErrorOr<SettingsRoot> ParseRoot(const std::string& aText)
+{
+  return Reading("root of the settings", aText, RootFromJson);
+}
+
+std::string DigestOf(const std::vector<SettingsFile>& aFiles)
+{
+  return Sha256(SerialiseFiles(aFiles));
+}
+
+std::string ChainOf(const SettingsRoot& aRoot)
+{
+  SettingsRoot root = aRoot;
+  root.mChain.clear();
+  return Sha256(SerialiseRoot(root));
+}
+
+std::string SerialiseRecord(const StoredSettings& aSettings)
+{
+  const Json record{ { "root", RootToJson(aSettings.mRoot) },
+                     { "files", FilesToJson(aSettings.mFiles) } };
+  return record.dump();
+}
+
+ErrorOr<void> CheckRecord(const StoredSettings& aSettings)
+{
+  if (DigestOf(aSettings.mFiles) != aSettings.mRoot.mDigest) {
+    return MakeError(ErrorCode::Invalid,
+                     "The files do not agree with the digest of the root.");
+  }
+  if (ChainOf(aSettings.mRoot) != aSettings.mRoot.mChain) {
+    return MakeError(ErrorCode::Invalid,
+                     "The root does not agree with its chain digest.");
+  }
+  return {};
+}
+
+ErrorOr<StoredSettings> ParseRecord(const std::string& aText)
+{
+  const auto read = [](const Json& aJson) {
+    return StoredSettings{ RootFromJson(aJson.at("root")),
+                           FilesFromJson(aJson.at("files")) };
+  };
+  auto record = ACACIAVALE_TRY(Reading("record of the settings", aText, read));
+  const auto checked = CheckRecord(record);
+  if (!checked) {
+    return tl::make_unexpected(checked.error());
+  }
+  return record;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibSettings/SettingsStore.cpp
@@ -0,0 +1,349 @@
+#include <Acaciavale/LibSettings/SettingsStore.h>
+
+#include "Text.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace Acaciavale {
+
+namespace {
+
+/// Parts of a body stay well below the megabyte that the store takes.
+constexpr std::size_t kChunkBytes = 900'000;
+constexpr std::int64_t kGenerationsPerBlock = 1000;
+/// How often a write whose answer was lost is tried again.
+constexpr int kMaxAttempts = 4;
+
+std::string Padded(std::int64_t aNumber)
+{
+  std::array<char, 32> text{};
+  std::snprintf(
+    text.data(), text.size(), "%012lld", static_cast<long long>(aNumber));
+  return text.data();
+}
+
+std::string BlockPrefix(std::int64_t aBlock)
+{
+  return "settings/history/" + Padded(aBlock) + "/";
+}
+
+std::string HistoryKey(std::int64_t aGeneration)
+{
+  return BlockPrefix(aGeneration / kGenerationsPerBlock) + Padded(aGeneration);
+}
+
+std::string BodyKey(const std::string& aDigest, std::int64_t aChunk)
+{
+  return "settings/body/" + aDigest + "/" + std::to_string(aChunk);
+}
+
+/// The root with the revision that a CAS must expect; generation 0 and
+/// revision 0 where there is none yet.
+struct RootEntry
+{
+  SettingsRoot mRoot;
+  std::string mText;
+  std::int64_t mRevision = 0;
+};
+
+ErrorOr<RootEntry> ReadRoot(const KeyValueStore& aStore)
+{
+  const auto entry = ACACIAVALE_TRY(aStore.mRead(kSettingsRootKey));
+  if (!entry) {
+    return RootEntry{};
+  }
+  SettingsRoot root = ACACIAVALE_TRY(ParseRoot(entry->mValue));
+  return RootEntry{ std::move(root), entry->mValue, entry->mRevision };
+}
+
+/// Creates an immutable record. One that is there already is as good as ours,
+/// since its key says what it holds.
+ErrorOr<void> CreateImmutable(const KeyValueStore& aStore,
+                              const std::string& aKey,
+                              const std::string& aValue)
+{
+  Error last;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto written = aStore.mCompareAndSwap({ aKey, aValue, 0, 0 });
+    if (written) {
+      return {};
+    }
+    last = written.error();
+    if (last.mCode != ErrorCode::Conflict) {
+      continue;
+    }
+    const auto present = ACACIAVALE_TRY(aStore.mRead(aKey));
+    if (present && present->mValue == aValue) {
+      return {};
+    }
+    return MakeError(ErrorCode::Internal,
+                     "The record " + aKey + " was altered in the store.");
+  }
+  // NOTE: Whether an immutable record was written does not matter as long as
+  //       the root does not point to it, so the caller hears that nothing took
+  //       effect.
+  return MakeError(ErrorCode::Unavailable, last.mMessage);
+}
+
+ErrorOr<void> WriteBody(const KeyValueStore& aStore,
+                        const SettingsRoot& aRoot,
+                        const std::string& aBody)
+{
+  for (std::int64_t chunk = 0; chunk < aRoot.mChunks; ++chunk) {
+    const auto start = static_cast<std::size_t>(chunk) * kChunkBytes;
+    const auto written = CreateImmutable(
+      aStore, BodyKey(aRoot.mDigest, chunk), aBody.substr(start, kChunkBytes));
+    if (!written) {
+      return written;
+    }
+  }
+  return {};
+}
+
+/// What became of a root whose answer was lost.
+enum class Fate
+{
+  InForce,    ///< It is, or was before another superseded it.
+  Superseded, ///< Another generation took its place.
+  NotSeen,    ///< The root is still as it was before.
+};
+
+ErrorOr<Fate> FindFate(const KeyValueStore& aStore,
+                       const SettingsRoot& aRoot,
+                       std::int64_t aRevisionBefore)
+{
+  const RootEntry now = ACACIAVALE_TRY(ReadRoot(aStore));
+  if (now.mRoot.mNonce == aRoot.mNonce) {
+    return Fate::InForce;
+  }
+  if (now.mRevision == aRevisionBefore) {
+    return Fate::NotSeen;
+  }
+  // NOTE: Another writer may have superseded ours already. It stored ours in
+  //       the history first, so the history says whether ours was in force.
+  const auto past = ACACIAVALE_TRY(aStore.mRead(HistoryKey(aRoot.mGeneration)));
+  return past && past->mValue == SerialiseRoot(aRoot) ? Fate::InForce
+                                                      : Fate::Superseded;
+}
+
+ErrorOr<void> MoveRoot(const KeyValueStore& aStore,
+                       const SettingsRoot& aRoot,
+                       std::int64_t aRevision)
+{
+  const CompareAndSwap write{
+    kSettingsRootKey, SerialiseRoot(aRoot), aRevision, 0
+  };
+  bool mayHaveWritten = false;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto written = aStore.mCompareAndSwap(write);
+    if (written) {
+      return {};
+    }
+    if (written.error().mCode == ErrorCode::Unavailable) {
+      continue;
+    }
+    mayHaveWritten =
+      mayHaveWritten || written.error().mCode == ErrorCode::OutcomeUnknown;
+    const auto fate = FindFate(aStore, aRoot, aRevision);
+    if (fate && *fate == Fate::InForce) {
+      return {};
+    }
+    if (fate && *fate == Fate::Superseded) {
+      return MakeError(ErrorCode::Conflict,
+                       "Another generation was applied first.");
+    }
+    // NOTE: The same write may be sent again: it names the revision that it
+    //       expects, so a late first copy and the second cannot both count.
+  }
+  if (mayHaveWritten) {
+    return MakeError(
+      ErrorCode::OutcomeUnknown,
+      "The store did not tell whether the settings were applied; "
+      "look at the history before trying again.");
+  }
+  return MakeError(ErrorCode::Unavailable, "The store cannot be reached.");
+}
+
+SettingsRoot MakeRoot(const ApplyRequest& aRequest,
+                      const SettingsRoot& aBefore,
+                      const std::string& aBody)
+{
+  SettingsRoot root;
+  root.mGeneration = aBefore.mGeneration + 1;
+  root.mDigest = DigestOf(aRequest.mFiles);
+  root.mChunks =
+    static_cast<std::int64_t>((aBody.size() + kChunkBytes - 1) / kChunkBytes);
+  root.mAuthor = aRequest.mAuthor;
+  root.mReason = aRequest.mReason;
+  root.mTime = aRequest.mNow;
+  root.mPreviousChain = aBefore.mChain;
+  root.mNonce = aRequest.mNonce;
+  root.mChain = ChainOf(root);
+  return root;
+}
+
+ErrorOr<void> CheckRequest(const ApplyRequest& aRequest)
+{
+  for (const std::string& text : { aRequest.mAuthor, aRequest.mReason }) {
+    if (Trimmed(text).empty() || ValidUtf8Length(text) != text.size()) {
+      return MakeError(ErrorCode::Invalid,
+                       "Author and reason must be stated, in UTF-8.");
+    }
+  }
+  const SettingsReading reading = ReadSettings(aRequest.mFiles);
+  if (!reading.mFindings.empty()) {
+    return MakeError(
+      ErrorCode::Invalid,
+      "The settings have " + std::to_string(reading.mFindings.size()) +
+        " findings; the first is " + Describe(reading.mFindings.front()));
+  }
+  return {};
+}
+
+void AddBlock(const std::vector<KeyValueEntry>& aEntries,
+              std::int64_t aFrom,
+              std::int64_t aBelow,
+              std::vector<SettingsRoot>& aRoots)
+{
+  for (const KeyValueEntry& entry : aEntries) {
+    // NOTE: A record that cannot be read stands as an empty root, which
+    //       Verify reports as altered.
+    const auto root = ParseRoot(entry.mValue).value_or(SettingsRoot{});
+    if (root.mGeneration == 0 ||
+        (root.mGeneration >= aFrom && root.mGeneration < aBelow)) {
+      aRoots.push_back(root);
+    }
+  }
+}
+
+} // namespace
+
+ErrorOr<SettingsRoot> FetchRoot(const KeyValueStore& aStore)
+{
+  RootEntry entry = ACACIAVALE_TRY(ReadRoot(aStore));
+  if (entry.mRevision == 0) {
+    return MakeError(ErrorCode::NotFound, "No settings were applied yet.");
+  }
+  return std::move(entry.mRoot);
+}
+
+ErrorOr<StoredSettings> FetchBody(const KeyValueStore& aStore,
+                                  const SettingsRoot& aRoot)
+{
+  std::string body;
+  for (std::int64_t chunk = 0; chunk < aRoot.mChunks; ++chunk) {
+    const auto part =
+      ACACIAVALE_TRY(aStore.mRead(BodyKey(aRoot.mDigest, chunk)));
+    if (!part) {
+      return MakeError(ErrorCode::NotFound,
+                       "A part of the settings' body is not in the store.");
+    }
+    body += part->mValue;
+  }
+  StoredSettings settings{ aRoot, ACACIAVALE_TRY(ParseFiles(body)) };
+  const auto checked = CheckRecord(settings);
+  if (!checked) {
+    return tl::make_unexpected(checked.error());
+  }
+  return settings;
+}
+
+ErrorOr<StoredSettings> FetchLatest(const KeyValueStore& aStore)
+{
+  const SettingsRoot root = ACACIAVALE_TRY(FetchRoot(aStore));
+  return FetchBody(aStore, root);
+}
+
+ErrorOr<StoredSettings> FetchGeneration(const KeyValueStore& aStore,
+                                        std::int64_t aGeneration)
+{
+  const SettingsRoot root = ACACIAVALE_TRY(FetchRoot(aStore));
+  if (root.mGeneration == aGeneration) {
+    return FetchBody(aStore, root);
+  }
+  const auto past = ACACIAVALE_TRY(aStore.mRead(HistoryKey(aGeneration)));
+  if (!past) {
+    return MakeError(ErrorCode::NotFound,
+                     "There is no generation " + std::to_string(aGeneration) +
+                       "; " + std::to_string(root.mGeneration) +
+                       " is in force.");
+  }
+  const SettingsRoot pastRoot = ACACIAVALE_TRY(ParseRoot(past->mValue));
+  return FetchBody(aStore, pastRoot);
+}
+
+ErrorOr<std::vector<SettingsRoot>> FetchHistory(const KeyValueStore& aStore,
+                                                std::int64_t aFrom)
+{
+  const SettingsRoot latest = ACACIAVALE_TRY(FetchRoot(aStore));
+  std::vector<SettingsRoot> roots;
+  const std::int64_t lastBlock = latest.mGeneration / kGenerationsPerBlock;
+  for (std::int64_t block = aFrom / kGenerationsPerBlock; block <= lastBlock;
+       ++block) {
+    const auto entries = ACACIAVALE_TRY(aStore.mList(BlockPrefix(block)));
+    AddBlock(entries, aFrom, latest.mGeneration, roots);
+  }
+  roots.push_back(latest);
+  return roots;
+}
+
+std::vector<std::string> Verify(const std::vector<SettingsRoot>& aHistory)
+{
+  std::vector<std::string> problems;
+  std::int64_t expected = 1;
+  std::string chain;
+  for (const SettingsRoot& root : aHistory) {
+    const std::string name = "generation " + std::to_string(root.mGeneration);
+    if (root.mGeneration != expected) {
+      problems.push_back("generation " + std::to_string(expected) +
+                         " is missing or cannot be read");
+    }
+    if (ChainOf(root) != root.mChain) {
+      problems.push_back(name + " was altered: its chain digest differs");
+    }
+    if (root.mPreviousChain != chain) {
+      problems.push_back(name + " does not lead on from the one before it");
+    }
+    chain = root.mChain;
+    expected = root.mGeneration + 1;
+  }
+  return problems;
+}
+
+ErrorOr<SettingsRoot> Apply(const KeyValueStore& aStore,
+                            const ApplyRequest& aRequest)
+{
+  const auto checked = CheckRequest(aRequest);
+  if (!checked) {
+    return tl::make_unexpected(checked.error());
+  }
+  const RootEntry before = ACACIAVALE_TRY(ReadRoot(aStore));
+  if (before.mRoot.mGeneration != aRequest.mSeenGeneration) {
+    return MakeError(ErrorCode::Conflict,
+                     "Generation " + std::to_string(before.mRoot.mGeneration) +
+                       " is in force, not " +
+                       std::to_string(aRequest.mSeenGeneration) + ".");
+  }
+  const std::string body = SerialiseFiles(aRequest.mFiles);
+  const SettingsRoot root = MakeRoot(aRequest, before.mRoot, body);
+  const auto written = WriteBody(aStore, root, body);
+  if (!written) {
+    return tl::make_unexpected(written.error());
+  }
+  if (before.mRevision != 0) {
+    const auto kept = CreateImmutable(
+      aStore, HistoryKey(before.mRoot.mGeneration), before.mText);
+    if (!kept) {
+      return tl::make_unexpected(kept.error());
+    }
+  }
+  const auto moved = MoveRoot(aStore, root, before.mRevision);
+  if (!moved) {
+    return tl::make_unexpected(moved.error());
+  }
+  return root;
+}
+
+} // namespace Acaciavale
