--- /dev/null
+++ b/Libraries/LibRouting/CandidateList.cpp
@@ -0,0 +1,130 @@
+#include <LibRouting/CandidateList.h>
+#include <LibRouting/StagePermission.h>
+
+#include <algorithm>
+
+namespace Acaciavale {
+
+namespace {
+
+/// Bound on the runs of cascade stages that one request looks at.
+constexpr std::size_t kMaxCandidates = 128;
+
+using StageOptions = std::vector<CascadeStage>;
+
+bool IsLoaded(const VersionView& aView, const CascadeStage& aStage)
+{
+  return std::find(aView.mLoaded.begin(), aView.mLoaded.end(), aStage) !=
+         aView.mLoaded.end();
+}
+
+Exclusion ExclusionOf(const RequestProfile& aProfile,
+                      const VersionView& aView,
+                      const CascadeStage& aStage)
+{
+  const Exclusion dispatch = CheckDispatch(aProfile, aView.mSettings, aStage);
+  if (dispatch != Exclusion::None) {
+    return dispatch;
+  }
+  const CascadeStage* held =
+    UsableSessionVersion(aProfile, aView.mSettings, aStage.mModel);
+  if (held != nullptr && *held != aStage) {
+    return Exclusion::SessionKeepsAnother;
+  }
+  return IsLoaded(aView, aStage) ? Exclusion::None : Exclusion::NotLoaded;
+}
+
+/// The versions that one stage of the target may stand for.
+StageOptions VersionsOf(const Settings& aSettings, const CascadeStage& aSlot)
+{
+  if (!aSlot.mVersion.empty()) {
+    return { aSlot };
+  }
+  StageOptions options;
+  const auto model = aSettings.mModels.find(aSlot.mModel);
+  if (model == aSettings.mModels.end()) {
+    return options;
+  }
+  for (const VersionSettings& version : model->second.mVersions) {
+    options.push_back(CascadeStage{ aSlot.mModel, version.mName });
+  }
+  return options;
+}
+
+bool Contains(const std::vector<VersionCandidate>& aCandidates,
+              const CascadeStage& aStage)
+{
+  return std::any_of(aCandidates.begin(),
+                     aCandidates.end(),
+                     [&](const VersionCandidate& aCandidate) {
+                       return aCandidate.mStages.size() == 1 &&
+                              aCandidate.mStages.front() == aStage;
+                     });
+}
+
+/// Appends each candidate in aRuns, lengthened by each option, to both lists.
+std::vector<VersionCandidate> Lengthened(
+  const std::vector<VersionCandidate>& aRuns,
+  const StageOptions& aOptions,
+  std::vector<VersionCandidate>& aCandidates)
+{
+  std::vector<VersionCandidate> longer;
+  for (const VersionCandidate& run : aRuns) {
+    for (const CascadeStage& option : aOptions) {
+      if (aCandidates.size() >= kMaxCandidates) {
+        return longer;
+      }
+      longer.push_back(run);
+      longer.back().mStages.push_back(option);
+      aCandidates.push_back(longer.back());
+    }
+  }
+  return longer;
+}
+
+VersionCandidate SingleStage(const CascadeStage& aStage)
+{
+  VersionCandidate candidate;
+  candidate.mStages.push_back(aStage);
+  return candidate;
+}
+
+void AppendRuns(const std::vector<StageOptions>& aUsable,
+                std::vector<VersionCandidate>& aCandidates)
+{
+  for (std::size_t first = 0; first + 1 < aUsable.size(); ++first) {
+    std::vector<VersionCandidate> runs;
+    for (const CascadeStage& option : aUsable[first]) {
+      runs.push_back(SingleStage(option));
+    }
+    for (std::size_t next = first + 1; next < aUsable.size(); ++next) {
+      runs = Lengthened(runs, aUsable[next], aCandidates);
+    }
+  }
+}
+
+} // namespace
+
+std::vector<VersionCandidate> ListCandidates(const RequestProfile& aProfile,
+                                             const VersionView& aView)
+{
+  std::vector<VersionCandidate> candidates;
+  std::vector<StageOptions> usable;
+  for (const CascadeStage& slot : StagesOf(aView.mSettings, aProfile.mTarget)) {
+    usable.emplace_back();
+    for (const CascadeStage& stage : VersionsOf(aView.mSettings, slot)) {
+      VersionCandidate candidate = SingleStage(stage);
+      candidate.mExclusion = ExclusionOf(aProfile, aView, stage);
+      if (candidate.mExclusion == Exclusion::None) {
+        usable.back().push_back(stage);
+      }
+      if (!Contains(candidates, stage)) {
+        candidates.push_back(std::move(candidate));
+      }
+    }
+  }
+  AppendRuns(usable, candidates);
+  return candidates;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -0,0 +1,91 @@
+#include <Acaciavale/LibRouting/EndpointChoice.h>
+
+#include <algorithm>
+
+namespace Acaciavale {
+
+namespace {
+
+/// Speed assumed of an endpoint when none of the pool was measured.
+constexpr double kUnknownSecondsPerRequest = 1;
+/// How much longer than the best the session's own endpoint may take.
+constexpr double kPreferredSlack = 1.25;
+
+bool MayTake(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
+{
+  return !aEndpoint.mLeaving && !aEndpoint.mEjected &&
+         std::find(aQuery.mExcluded.begin(),
+                   aQuery.mExcluded.end(),
+                   aEndpoint.mIndex) == aQuery.mExcluded.end();
+}
+
+/// Everybody's requests there now: the report, corrected for what this VM
+/// itself has started and finished since.
+double EstimatedInFlight(const EndpointView& aEndpoint)
+{
+  const std::int32_t others =
+    std::max(0, aEndpoint.mReportedInFlight - aEndpoint.mOwnInFlightAtReport);
+  return others + aEndpoint.mOwnInFlight;
+}
+
+/// Expected seconds until a request sent there now is served.
+double Score(const EndpointView& aEndpoint,
+             const EndpointQuery& aQuery,
+             double aUsualSeconds)
+{
+  const double seconds = aEndpoint.mSecondsPerRequest > 0
+                           ? aEndpoint.mSecondsPerRequest
+                           : aUsualSeconds;
+  const double slots = std::max(1, aEndpoint.mSlots);
+  const double waiting = EstimatedInFlight(aEndpoint) + 1 - slots;
+  double score = seconds * (1 + std::max(0.0, waiting) / slots);
+  score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
+  if (aEndpoint.mFailureDomain != aQuery.mFailureDomain) {
+    score += aQuery.mCrossDomainSeconds;
+  }
+  return score;
+}
+
+double UsualSeconds(const std::vector<EndpointView>& aEndpoints)
+{
+  double sum = 0;
+  double known = 0;
+  for (const EndpointView& endpoint : aEndpoints) {
+    sum += endpoint.mSecondsPerRequest;
+    known += endpoint.mSecondsPerRequest > 0 ? 1 : 0;
+  }
+  return known > 0 ? sum / known : kUnknownSecondsPerRequest;
+}
+
+} // namespace
+
+EndpointDecision ChooseEndpoint(const std::vector<EndpointView>& aEndpoints,
+                                const EndpointQuery& aQuery,
+                                Random& aRandom)
+{
+  EndpointDecision best{ std::nullopt, 0, "No endpoint may take the work." };
+  std::optional<double> preferred;
+  const double usual = UsualSeconds(aEndpoints);
+  std::uint64_t ties = 0;
+  for (const EndpointView& endpoint : aEndpoints) {
+    if (!MayTake(endpoint, aQuery)) {
+      continue;
+    }
+    const double score = Score(endpoint, aQuery, usual);
+    if (aQuery.mPreferred == endpoint.mIndex) {
+      preferred = score;
+    }
+    ties = best.mIndex && score == best.mScore ? ties + 1 : 1;
+    const bool wins = !best.mIndex || score < best.mScore ||
+                      (score == best.mScore && aRandom.Below(ties) == 0);
+    if (wins) {
+      best = { endpoint.mIndex, score, "Least expected time until served." };
+    }
+  }
+  if (preferred && *preferred <= best.mScore * kPreferredSlack) {
+    return { aQuery.mPreferred, *preferred, "The session's last endpoint." };
+  }
+  return best;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibRouting/VersionChoice.cpp
@@ -0,0 +1,286 @@
+#include <Acaciavale/LibRouting/VersionChoice.h>
+#include <LibRouting/CandidateList.h>
+#include <LibRouting/CandidateScore.h>
+#include <LibRouting/RolloutRules.h>
+#include <LibRouting/StagePermission.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Acaciavale {
+
+namespace {
+
+using Candidates = std::vector<VersionCandidate>;
+
+bool IsOpen(const VersionCandidate& aCandidate)
+{
+  return aCandidate.mExclusion == Exclusion::None;
+}
+
+/// Cheapest first; then the surer, the quicker and the one first by name.
+bool IsCheaper(const VersionCandidate& aLeft, const VersionCandidate& aRight)
+{
+  return std::tie(aLeft.mExpectedCost,
+                  aRight.mQualityLowerBound,
+                  aLeft.mExpectedLatency,
+                  aLeft.mStages) < std::tie(aRight.mExpectedCost,
+                                            aLeft.mQualityLowerBound,
+                                            aRight.mExpectedLatency,
+                                            aRight.mStages);
+}
+
+/// Surest first; then the cheaper.
+bool IsSurer(const VersionCandidate& aLeft, const VersionCandidate& aRight)
+{
+  if (aLeft.mQualityLowerBound != aRight.mQualityLowerBound) {
+    return aLeft.mQualityLowerBound > aRight.mQualityLowerBound;
+  }
+  return IsCheaper(aLeft, aRight);
+}
+
+/// A request must have time for every stage, and an urgent one waits for no
+/// second stage at all.
+void ExcludeSlow(const RequestProfile& aProfile, Candidates& aCandidates)
+{
+  for (VersionCandidate& candidate : aCandidates) {
+    const bool isLate = candidate.mLongestLatency > aProfile.mTimeLeft;
+    const bool isCascade = candidate.mStages.size() > 1;
+    if (IsOpen(candidate) &&
+        (isLate || (isCascade && aProfile.mPriority == Priority::Urgent))) {
+      candidate.mExclusion = Exclusion::TooSlow;
+    }
+  }
+}
+
+void ScoreOpen(const RequestProfile& aProfile,
+               const VersionView& aView,
+               Candidates& aCandidates)
+{
+  for (VersionCandidate& candidate : aCandidates) {
+    if (IsOpen(candidate)) {
+      candidate = Scored(std::move(candidate), aProfile, aView);
+    }
+  }
+}
+
+void ExcludeBelowTarget(double aQualityTarget, Candidates& aCandidates)
+{
+  for (VersionCandidate& candidate : aCandidates) {
+    if (IsOpen(candidate) && candidate.mQualityLowerBound < aQualityTarget) {
+      candidate.mExclusion = Exclusion::BelowQualityTarget;
+    }
+  }
+}
+
+/// The first candidate by the order among those with this exclusion, or null.
+template<typename Order>
+VersionCandidate* Best(Candidates& aCandidates,
+                       Exclusion aExclusion,
+                       Order aOrder)
+{
+  VersionCandidate* best = nullptr;
+  for (VersionCandidate& candidate : aCandidates) {
+    if (candidate.mExclusion == aExclusion &&
+        (best == nullptr || aOrder(candidate, *best))) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+/// Whether more trials of this candidate may be paid for: cheaper, not yet
+/// known to miss the target, and its budget of bad answers not used up.
+bool MayTry(const VersionCandidate& aCandidate,
+            const VersionCandidate& aChosen,
+            const RequestProfile& aProfile,
+            const VersionView& aView,
+            double aQualityTarget)
+{
+  return aCandidate.mExclusion == Exclusion::BelowQualityTarget &&
+         aCandidate.mExpectedCost < aChosen.mExpectedCost &&
+         aCandidate.mQualityUpperBound >= aQualityTarget &&
+         ExposureOf(aCandidate, aProfile, aView, aQualityTarget) <
+           aView.mExplorationBudget;
+}
+
+/// Largest share of trials at which the mixture of chosen and tried still
+/// meets the target at the lower bounds.
+double TrialShare(const VersionCandidate& aTried,
+                  const VersionCandidate& aChosen,
+                  double aMaxShare,
+                  double aQualityTarget)
+{
+  const double slack = aChosen.mQualityLowerBound - aQualityTarget;
+  const double loss = aChosen.mQualityLowerBound - aTried.mQualityLowerBound;
+  if (loss <= 0) {
+    return aMaxShare;
+  }
+  return std::clamp(slack / loss, 0.0, aMaxShare);
+}
+
+/// Now and then a cheaper candidate in the place of the chosen one, so that
+/// evidence on it arises at all.
+VersionCandidate* MaybeTry(Candidates& aCandidates,
+                           VersionCandidate* aChosen,
+                           const RequestProfile& aProfile,
+                           const VersionView& aView,
+                           double aQualityTarget,
+                           Random& aRandom)
+{
+  VersionCandidate* tried = nullptr;
+  for (VersionCandidate& candidate : aCandidates) {
+    if (MayTry(candidate, *aChosen, aProfile, aView, aQualityTarget) &&
+        (tried == nullptr || IsCheaper(candidate, *tried))) {
+      tried = &candidate;
+    }
+  }
+  if (tried == nullptr || aProfile.mPriority == Priority::Urgent) {
+    return aChosen;
+  }
+  const double share =
+    TrialShare(*tried, *aChosen, aView.mExplorationShare, aQualityTarget);
+  return aRandom.Unit() < share ? tried : aChosen;
+}
+
+void FillIn(VersionDecision& aDecision,
+            const VersionCandidate& aChosen,
+            const RequestProfile& aProfile,
+            const VersionView& aView)
+{
+  aDecision.mStages = aChosen.mStages;
+  aDecision.mExpectedCost = aChosen.mExpectedCost;
+  const auto cascade = aView.mSettings.mCascades.find(aProfile.mTarget);
+  if (cascade != aView.mSettings.mCascades.end()) {
+    aDecision.mAcceptConfidence = cascade->second.mAcceptConfidence;
+  }
+}
+
+/// Puts versions under roll-out in the place of those that they replace, where
+/// they are loaded and fit the time left.
+void StandIn(VersionDecision& aDecision,
+             const RequestProfile& aProfile,
+             const VersionView& aView)
+{
+  const std::vector<CascadeStage> stages =
+    WithRolloutVersions(aProfile, aView, aDecision.mStages);
+  if (stages == aDecision.mStages) {
+    return;
+  }
+  for (VersionCandidate& candidate : aDecision.mCandidates) {
+    if (candidate.mStages != stages ||
+        candidate.mExclusion != Exclusion::OutsideRolloutShare) {
+      continue;
+    }
+    VersionCandidate scored = Scored(candidate, aProfile, aView);
+    if (scored.mLongestLatency > aProfile.mTimeLeft) {
+      candidate.mExclusion = Exclusion::TooSlow;
+      return;
+    }
+    scored.mExclusion = Exclusion::None;
+    candidate = scored;
+    FillIn(aDecision, scored, aProfile, aView);
+    aDecision.mReason = "The session falls into the share of a roll-out.";
+    return;
+  }
+}
+
+/// What the refusal says: the rule that came closest to letting one pass.
+std::string RefusalReason(const Candidates& aCandidates)
+{
+  constexpr Exclusion kClosestFirst[] = {
+    Exclusion::BelowQualityTarget,  Exclusion::TooSlow,
+    Exclusion::NotLoaded,           Exclusion::OutsideRolloutShare,
+    Exclusion::RolloutHalted,       Exclusion::Retiring,
+    Exclusion::Withdrawn,           Exclusion::NotPermitted,
+    Exclusion::SessionKeepsAnother,
+  };
+  for (const Exclusion exclusion : kClosestFirst) {
+    for (const VersionCandidate& candidate : aCandidates) {
+      if (candidate.mExclusion == exclusion) {
+        return "No version may serve the request: " + Describe(exclusion) + ".";
+      }
+    }
+  }
+  return "The target names no model or cascade with versions.";
+}
+
+} // namespace
+
+VersionDecision ChooseVersion(const RequestProfile& aProfile,
+                              const VersionView& aView,
+                              Random& aRandom)
+{
+  VersionDecision decision;
+  const ClientAccountSettings* account =
+    FindAccount(aView.mSettings, aProfile.mAccount);
+  if (account == nullptr || !MayName(*account, aProfile.mTarget)) {
+    decision.mReason = "The account may not name this model or cascade.";
+    return decision;
+  }
+  const double target = account->mQualityTarget;
+  Candidates& candidates = decision.mCandidates;
+  candidates = ListCandidates(aProfile, aView);
+  CloseRolloutVersions(aProfile, aView, candidates);
+  ScoreOpen(aProfile, aView, candidates);
+  ExcludeSlow(aProfile, candidates);
+  ExcludeBelowTarget(target, candidates);
+
+  VersionCandidate* chosen = Best(candidates, Exclusion::None, IsCheaper);
+  if (chosen != nullptr) {
+    decision.mReason = "Least expected cost at the quality target.";
+    VersionCandidate* tried =
+      MaybeTry(candidates, chosen, aProfile, aView, target, aRandom);
+    if (tried != chosen) {
+      chosen = tried;
+      decision.mReason = "Trial of a cheaper version within its budget.";
+    }
+  } else if (aProfile.mAcceptBelowTarget) {
+    chosen = Best(candidates, Exclusion::BelowQualityTarget, IsSurer);
+    decision.mReason = "None is sure to meet the quality target; the surest.";
+  }
+  if (chosen == nullptr) {
+    decision.mReason = RefusalReason(candidates);
+    return decision;
+  }
+  for (VersionCandidate& candidate : candidates) {
+    if (&candidate != chosen && IsOpen(candidate)) {
+      candidate.mExclusion = Exclusion::Dearer;
+    }
+  }
+  chosen->mExclusion = Exclusion::None;
+  FillIn(decision, *chosen, aProfile, aView);
+  StandIn(decision, aProfile, aView);
+  return decision;
+}
+
+std::string Describe(Exclusion aExclusion)
+{
+  switch (aExclusion) {
+    case Exclusion::None:
+      return "usable";
+    case Exclusion::NotPermitted:
+      return "the account does not allow it";
+    case Exclusion::Withdrawn:
+      return "withdrawn";
+    case Exclusion::Retiring:
+      return "retiring, so it takes no new session";
+    case Exclusion::NotLoaded:
+      return "no live endpoint has it loaded";
+    case Exclusion::BelowQualityTarget:
+      return "not sure to meet the quality target";
+    case Exclusion::TooSlow:
+      return "too slow for the time left";
+    case Exclusion::OutsideRolloutShare:
+      return "the session is outside the roll-out's share";
+    case Exclusion::RolloutHalted:
+      return "its roll-out is halted";
+    case Exclusion::Dearer:
+      return "costs more than the chosen one";
+    case Exclusion::SessionKeepsAnother:
+      return "the session keeps another version";
+  }
+  return "unknown";
+}
+
+} // namespace Acaciavale
--- a/include/Acaciavale/LibAdmission/Admission.h
+++ b/include/Acaciavale/LibAdmission/Admission.h
@@ -23,7 +23,8 @@
 /// What the pool looks like to this VM.
 struct PoolLoad
 {
-  std::int64_t mSlots = 0;    ///< Requests that the pool serves at once.
+  /// Requests that the pool serves at once; 0 is unknown and refuses nothing.
+  std::int64_t mSlots = 0;
   std::int64_t mInFlight = 0; ///< Everybody's, estimated.
   double mSecondsPerRequest = 0;
 
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -39,6 +39,11 @@
   double mPrefillSeconds = 0;       ///< What a whole cached prefix would save.
   std::optional<std::uint32_t> mPreferred; ///< The session's last endpoint.
   std::vector<std::uint32_t> mExcluded;    ///< Tried already.
+  /// What leaving this VM's failure domain costs.
+  double mCrossDomainSeconds = 0.001;
+  /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
+  /// it on are then tried in an order that all VMs share.
+  std::uint64_t mPrefixHash = 0;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
--- a/include/Acaciavale/LibRouting/Evidence.h
+++ b/include/Acaciavale/LibRouting/Evidence.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibSettings/Settings.h>
 
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 /// What is known of how versions do: ratings, errors and latency by kind.
 namespace Acaciavale {
@@ -35,9 +37,23 @@
 
 EvidenceCell operator+(const EvidenceCell& aLeft, const EvidenceCell& aRight);
 
+/// The cell with every count scaled by the factor, 0 to 1.
+EvidenceCell Aged(const EvidenceCell& aCell, double aFactor);
+
 using EvidenceView = std::map<EvidenceKey, EvidenceCell>;
 
 /// The lower bound, at 95 % confidence, of a share of successes.
 double LowerBound(double aSuccesses, double aTrials);
 
+/// The upper bound, at 95 % confidence, of a share of successes.
+double UpperBound(double aSuccesses, double aTrials);
+
+/// The key under which a cascade's final answers are counted. A cascade accepts
+/// the answers that its first stage is sure of, so its quality is not that of
+/// either stage alone. The model is the cascade's name and the version lists
+/// the stages that the decision named, as "a/1>b/2".
+EvidenceKey CascadeEvidenceKey(const std::string& aCascade,
+                               const std::vector<CascadeStage>& aStages,
+                               const std::string& aKind);
+
 } // namespace Acaciavale
--- a/include/Acaciavale/LibRouting/VersionChoice.h
+++ b/include/Acaciavale/LibRouting/VersionChoice.h
@@ -24,6 +24,9 @@
   /// "model/version" pairs that the caller's session holds already.
   std::vector<CascadeStage> mSessionVersions;
   double mSessionPoint = 0; ///< In [0, 1), fixed per session: roll-out share.
+  /// Whether the best permitted version may answer where none is sure to meet
+  /// the quality target; otherwise that is a refusal.
+  bool mAcceptBelowTarget = true;
 
   auto operator<=>(const RequestProfile&) const = default;
 };
@@ -41,6 +44,7 @@
   OutsideRolloutShare,
   RolloutHalted,
   Dearer,
+  SessionKeepsAnother, ///< The session holds another version of the model.
 };
 
 /// One candidate with its scores, kept so that the decision can be explained.
@@ -49,7 +53,9 @@
   std::vector<CascadeStage> mStages; ///< One stage, or a whole cascade.
   Money mExpectedCost;
   double mQualityLowerBound = 0;
-  Duration mExpectedLatency{};
+  double mQualityUpperBound = 0;
+  Duration mExpectedLatency{}; ///< Counts later stages by their likelihood.
+  Duration mLongestLatency{};  ///< If every stage runs.
   Exclusion mExclusion = Exclusion::None;
 
   auto operator<=>(const VersionCandidate&) const = default;
@@ -88,6 +94,12 @@
   const std::vector<RolloutView>& mRollouts;
   /// Versions that at least one live endpoint has loaded.
   const std::vector<CascadeStage>& mLoaded;
+  /// Largest share of requests that may try a cheaper version whose quality is
+  /// not known yet, outside roll-outs.
+  double mExplorationShare = 0.2;
+  /// Bad answers, beyond those that the target allows, that the trial of one
+  /// version for one kind of request may cost.
+  double mExplorationBudget = 20;
 };
 
 /// Least expected cost whose lower confidence bound of quality meets the
