Add membership between VMs over gRPC

Cause: VMs must know of each other, of newer settings and of evidence. Change: digests by gossip in a byte budget, health by heartbeat progress, settings fetched from a peer with a higher generation, bill entries held by peers in other failure domains, a leased record per VM as the seed list.

--- /dev/null
+++ b/Libraries/LibMembership/DigestCodec.cpp
@@ -0,0 +1,402 @@
+#include "DigestCodec.h"
+#include "DigestMessages.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr std::uint32_t kDrainingFlag = 1;
+constexpr std::uint32_t kCutFromStoreFlag = 2;
+constexpr std::uint32_t kLeftFlag = 4;
+constexpr std::uint64_t kHashBasis = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t kHashPrime = 0x100000001b3ULL;
+constexpr std::size_t kHexadecimalRequestDigits = 32;
+constexpr char kHexDigits[] = "0123456789abcdef";
+
+std::uint64_t HashInto(std::uint64_t aHash, const std::string& aText)
+{
+  for (const char character : aText) {
+    aHash ^= static_cast<unsigned char>(character);
+    aHash *= kHashPrime;
+  }
+  return aHash;
+}
+
+std::uint32_t FlagsOf(bool aDraining, bool aSeesStore, bool aLeft)
+{
+  return (aDraining ? kDrainingFlag : 0) |
+         (aSeesStore ? 0 : kCutFromStoreFlag) | (aLeft ? kLeftFlag : 0);
+}
+
+std::uint32_t Narrowed(std::int64_t aValue)
+{
+  constexpr std::int64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(aValue, 0, kMost));
+}
+
+void Write(const VmDescribed& aVm, PeerMessages::VmDescription& aMessage)
+{
+  const VmState& state = aVm.mState;
+  aMessage.set_name(state.mName);
+  aMessage.set_incarnation(state.mIncarnation);
+  aMessage.set_caller_address(state.mCallerAddress);
+  aMessage.set_peer_address(state.mPeerAddress);
+  aMessage.set_operator_address(state.mOperatorAddress);
+  aMessage.set_failure_domain(state.mFailureDomain);
+  aMessage.set_weight(state.mWeight);
+  aMessage.set_flags(FlagsOf(state.mDraining, state.mSeesStore, aVm.mLeft));
+  aMessage.set_in_flight(state.mInFlight);
+  aMessage.set_settings_generation(state.mSettingsGeneration);
+  aMessage.set_heartbeat(state.mHeartbeat);
+}
+
+void Write(const EvidenceRumour& aRumour,
+           PeerMessages::EvidenceRumour& aMessage)
+{
+  aMessage.set_origin(aRumour.mOrigin);
+  aMessage.set_sequence(aRumour.mSequence);
+  for (const auto& [key, cell] : aRumour.mCells) {
+    auto& item = *aMessage.add_cells();
+    item.set_model(key.mModel);
+    item.set_version(key.mVersion);
+    item.set_kind(key.mKind);
+    item.set_rated(static_cast<float>(cell.mRated));
+    item.set_good(static_cast<float>(cell.mGood));
+    item.set_answers(static_cast<float>(cell.mAnswers));
+    item.set_errors(static_cast<float>(cell.mErrors));
+    item.set_escalations(static_cast<float>(cell.mEscalations));
+    item.set_first_token_seconds(static_cast<float>(cell.mFirstTokenSeconds));
+    item.set_output_tokens(static_cast<float>(cell.mOutputTokens));
+  }
+}
+
+bool IsName(const std::string& aText)
+{
+  return aText.size() <= kMaxNameBytes;
+}
+
+ErrorOr<VmDescribed> Read(const PeerMessages::VmDescription& aMessage)
+{
+  const bool named =
+    !aMessage.name().empty() && IsName(aMessage.name()) &&
+    IsName(aMessage.incarnation()) && IsName(aMessage.caller_address()) &&
+    IsName(aMessage.peer_address()) && IsName(aMessage.operator_address()) &&
+    IsName(aMessage.failure_domain());
+  if (!named || aMessage.settings_generation() < 0 || aMessage.weight() < 0 ||
+      aMessage.in_flight() < 0) {
+    return MakeError(ErrorCode::Invalid, "The description of a VM is bad.");
+  }
+  VmDescribed vm;
+  vm.mState.mName = aMessage.name();
+  vm.mState.mIncarnation = aMessage.incarnation();
+  vm.mState.mCallerAddress = aMessage.caller_address();
+  vm.mState.mPeerAddress = aMessage.peer_address();
+  vm.mState.mOperatorAddress = aMessage.operator_address();
+  vm.mState.mFailureDomain = aMessage.failure_domain();
+  vm.mState.mWeight = aMessage.weight();
+  vm.mState.mDraining = (aMessage.flags() & kDrainingFlag) != 0;
+  vm.mState.mSeesStore = (aMessage.flags() & kCutFromStoreFlag) == 0;
+  vm.mState.mInFlight = aMessage.in_flight();
+  vm.mState.mSettingsGeneration = aMessage.settings_generation();
+  vm.mState.mHeartbeat = aMessage.heartbeat();
+  vm.mLeft = (aMessage.flags() & kLeftFlag) != 0;
+  return vm;
+}
+
+bool IsCount(float aValue)
+{
+  return std::isfinite(aValue) && aValue >= 0;
+}
+
+bool IsSound(const PeerMessages::EvidenceCellMessage& aMessage)
+{
+  return IsName(aMessage.model()) && IsName(aMessage.version()) &&
+         IsName(aMessage.kind()) && IsCount(aMessage.rated()) &&
+         IsCount(aMessage.good()) && IsCount(aMessage.answers()) &&
+         IsCount(aMessage.errors()) && IsCount(aMessage.escalations()) &&
+         IsCount(aMessage.first_token_seconds()) &&
+         IsCount(aMessage.output_tokens());
+}
+
+ErrorOr<EvidenceRumour> Read(const PeerMessages::EvidenceRumour& aMessage)
+{
+  if (aMessage.cells_size() > kMaxCellsPerRumour) {
+    return MakeError(ErrorCode::Invalid, "Evidence has too many cells.");
+  }
+  EvidenceRumour rumour{ aMessage.origin(), aMessage.sequence(), {} };
+  for (const auto& item : aMessage.cells()) {
+    if (!IsSound(item)) {
+      return MakeError(ErrorCode::Invalid, "A cell of evidence is bad.");
+    }
+    EvidenceCell& cell =
+      rumour.mCells[{ item.model(), item.version(), item.kind() }];
+    cell.mRated = item.rated();
+    cell.mGood = item.good();
+    cell.mAnswers = item.answers();
+    cell.mErrors = item.errors();
+    cell.mEscalations = item.escalations();
+    cell.mFirstTokenSeconds = item.first_token_seconds();
+    cell.mOutputTokens = item.output_tokens();
+  }
+  return rumour;
+}
+
+ErrorOr<std::vector<DigestRow>> ReadRows(
+  const PeerMessages::DigestMessage& aMessage)
+{
+  const int count = aMessage.ids_size();
+  const bool even = aMessage.heartbeats_size() == count &&
+                    aMessage.in_flights_size() == count &&
+                    aMessage.flags_size() == count &&
+                    aMessage.generation_lags_size() == count;
+  if (!even || count > kMaxRowsPerDigest || aMessage.top_generation() < 0) {
+    return MakeError(ErrorCode::Invalid, "The rows of a digest are bad.");
+  }
+  std::vector<DigestRow> rows;
+  rows.reserve(static_cast<std::size_t>(count));
+  for (int index = 0; index < count; ++index) {
+    DigestRow row;
+    row.mId = aMessage.ids(index);
+    row.mHeartbeat = aMessage.heartbeats(index);
+    row.mInFlight = aMessage.in_flights(index);
+    row.mSettingsGeneration = std::max<std::int64_t>(
+      0, aMessage.top_generation() - aMessage.generation_lags(index));
+    row.mDraining = (aMessage.flags(index) & kDrainingFlag) != 0;
+    row.mSeesStore = (aMessage.flags(index) & kCutFromStoreFlag) == 0;
+    row.mLeft = (aMessage.flags(index) & kLeftFlag) != 0;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+int HexValue(char aDigit)
+{
+  if (aDigit >= '0' && aDigit <= '9') {
+    return aDigit - '0';
+  }
+  return aDigit >= 'a' && aDigit <= 'f' ? aDigit - 'a' + 10 : -1;
+}
+
+/// The bytes that the digits stand for, or empty if they are not an id of ours.
+std::string PackedRequest(const std::string& aRequest)
+{
+  if (aRequest.size() != kHexadecimalRequestDigits) {
+    return "";
+  }
+  std::string bytes;
+  for (std::size_t at = 0; at < aRequest.size(); at += 2) {
+    const int high = HexValue(aRequest[at]);
+    const int low = HexValue(aRequest[at + 1]);
+    if (high < 0 || low < 0) {
+      return "";
+    }
+    bytes.push_back(static_cast<char>(high * 16 + low));
+  }
+  return bytes;
+}
+
+std::string UnpackedRequest(const std::string& aBytes)
+{
+  std::string digits;
+  for (const char byte : aBytes) {
+    const auto value = static_cast<unsigned char>(byte);
+    digits.push_back(kHexDigits[value >> 4]);
+    digits.push_back(kHexDigits[value & 15]);
+  }
+  return digits;
+}
+
+/// Gives each name that an entries message uses its position.
+class NameList
+{
+public:
+  explicit NameList(PeerMessages::EntriesMessage& aMessage)
+    : mMessage(aMessage)
+  {
+  }
+
+  std::uint32_t PositionOf(const std::string& aName)
+  {
+    const auto [place, added] =
+      mPositions.emplace(aName, static_cast<std::uint32_t>(mPositions.size()));
+    if (added) {
+      mMessage.add_names(aName);
+    }
+    return place->second;
+  }
+
+private:
+  PeerMessages::EntriesMessage& mMessage;
+  std::map<std::string, std::uint32_t> mPositions;
+};
+
+bool RefersToNames(const PeerMessages::EntryMessage& aEntry, int aNames)
+{
+  const std::uint32_t most = std::max({ aEntry.incarnation_vm(),
+                                        aEntry.incarnation_nonce(),
+                                        aEntry.account(),
+                                        aEntry.model(),
+                                        aEntry.version() });
+  return most < static_cast<std::uint32_t>(aNames);
+}
+
+BillEntry Read(const PeerMessages::EntriesMessage& aMessage,
+               const PeerMessages::EntryMessage& aEntry)
+{
+  const auto name = [&aMessage](std::uint32_t aPosition) {
+    return aMessage.names(static_cast<int>(aPosition));
+  };
+  BillEntry entry;
+  entry.mIncarnation = { name(aEntry.incarnation_vm()),
+                         name(aEntry.incarnation_nonce()) };
+  entry.mNumber = aEntry.number();
+  entry.mRequest = aEntry.request_is_hexadecimal()
+                     ? UnpackedRequest(aEntry.request())
+                     : aEntry.request();
+  entry.mAccount = name(aEntry.account());
+  entry.mModel = name(aEntry.model());
+  entry.mVersion = name(aEntry.version());
+  entry.mInputTokens = aEntry.input_tokens();
+  entry.mOutputTokens = aEntry.output_tokens();
+  entry.mCharge = Money{ aEntry.charge_micros() };
+  // NOTE: Added without a sign, since a hostile pair would overflow one.
+  entry.mTime = UnixMilliseconds(static_cast<std::int64_t>(
+    static_cast<std::uint64_t>(aMessage.base_time()) +
+    static_cast<std::uint64_t>(aEntry.time_after_base())));
+  return entry;
+}
+
+} // namespace
+
+ShortId ShortIdOf(const std::string& aName, const std::string& aIncarnation)
+{
+  const std::uint64_t hash =
+    HashInto(HashInto(kHashBasis, aName) * kHashPrime, aIncarnation);
+  return static_cast<ShortId>(hash ^ (hash >> 32));
+}
+
+PeerMessages::DigestMessage ToMessage(const Digest& aDigest)
+{
+  PeerMessages::DigestMessage message;
+  message.set_sender(aDigest.mSender);
+  std::int64_t top = 0;
+  for (const DigestRow& row : aDigest.mRows) {
+    top = std::max(top, row.mSettingsGeneration);
+  }
+  message.set_top_generation(top);
+  for (const DigestRow& row : aDigest.mRows) {
+    message.add_ids(row.mId);
+    message.add_heartbeats(row.mHeartbeat);
+    message.add_in_flights(Narrowed(row.mInFlight));
+    message.add_flags(FlagsOf(row.mDraining, row.mSeesStore, row.mLeft));
+    message.add_generation_lags(Narrowed(top - row.mSettingsGeneration));
+  }
+  for (const VmDescribed& vm : aDigest.mDescribed) {
+    Write(vm, *message.add_described());
+  }
+  for (const EvidenceRumour& rumour : aDigest.mEvidence) {
+    Write(rumour, *message.add_evidence());
+  }
+  for (const ShortId id : aDigest.mUnknown) {
+    message.add_unknown(id);
+  }
+  return message;
+}
+
+ErrorOr<Digest> FromMessage(const PeerMessages::DigestMessage& aMessage)
+{
+  if (aMessage.described_size() > kMaxDescribedPerDigest ||
+      aMessage.evidence_size() > kMaxRumoursPerDigest ||
+      aMessage.unknown_size() > kMaxRowsPerDigest) {
+    return MakeError(ErrorCode::Invalid, "A digest is too long.");
+  }
+  Digest digest;
+  digest.mSender = aMessage.sender();
+  digest.mRows = ACACIAVALE_TRY(ReadRows(aMessage));
+  for (const auto& described : aMessage.described()) {
+    digest.mDescribed.push_back(ACACIAVALE_TRY(Read(described)));
+  }
+  for (const auto& rumour : aMessage.evidence()) {
+    digest.mEvidence.push_back(ACACIAVALE_TRY(Read(rumour)));
+  }
+  digest.mUnknown.assign(aMessage.unknown().begin(), aMessage.unknown().end());
+  return digest;
+}
+
+std::string SerializeDigest(const Digest& aDigest)
+{
+  return ToMessage(aDigest).SerializeAsString();
+}
+
+ErrorOr<Digest> ParseDigest(const std::string& aBytes)
+{
+  PeerMessages::DigestMessage message;
+  if (!message.ParseFromString(aBytes)) {
+    return MakeError(ErrorCode::Invalid, "A digest is not a message.");
+  }
+  return FromMessage(message);
+}
+
+PeerMessages::EntriesMessage ToMessage(const std::vector<BillEntry>& aEntries)
+{
+  PeerMessages::EntriesMessage message;
+  NameList names(message);
+  const std::int64_t base =
+    aEntries.empty() ? 0 : aEntries.front().mTime.count();
+  message.set_base_time(base);
+  for (const BillEntry& entry : aEntries) {
+    auto& item = *message.add_entries();
+    item.set_incarnation_vm(names.PositionOf(entry.mIncarnation.mVm));
+    item.set_incarnation_nonce(names.PositionOf(entry.mIncarnation.mNonce));
+    item.set_number(entry.mNumber);
+    const std::string packed = PackedRequest(entry.mRequest);
+    item.set_request_is_hexadecimal(!packed.empty());
+    item.set_request(packed.empty() ? entry.mRequest : packed);
+    item.set_account(names.PositionOf(entry.mAccount));
+    item.set_model(names.PositionOf(entry.mModel));
+    item.set_version(names.PositionOf(entry.mVersion));
+    item.set_input_tokens(entry.mInputTokens);
+    item.set_output_tokens(entry.mOutputTokens);
+    item.set_charge_micros(entry.mCharge.mMicros);
+    item.set_time_after_base(entry.mTime.count() - base);
+  }
+  return message;
+}
+
+ErrorOr<std::vector<BillEntry>> FromMessage(
+  const PeerMessages::EntriesMessage& aMessage)
+{
+  if (aMessage.entries_size() > kMaxEntriesPerMessage) {
+    return MakeError(ErrorCode::Invalid, "Too many bill entries at once.");
+  }
+  std::vector<BillEntry> entries;
+  entries.reserve(static_cast<std::size_t>(aMessage.entries_size()));
+  for (const auto& item : aMessage.entries()) {
+    if (!RefersToNames(item, aMessage.names_size()) || item.number() == 0) {
+      return MakeError(ErrorCode::Invalid, "A bill entry is bad.");
+    }
+    entries.push_back(Read(aMessage, item));
+  }
+  return entries;
+}
+
+std::string SerializeEntries(const std::vector<BillEntry>& aEntries)
+{
+  return ToMessage(aEntries).SerializeAsString();
+}
+
+ErrorOr<std::vector<BillEntry>> ParseEntries(const std::string& aBytes)
+{
+  PeerMessages::EntriesMessage message;
+  if (!message.ParseFromString(aBytes)) {
+    return MakeError(ErrorCode::Invalid, "Bill entries are not a message.");
+  }
+  return FromMessage(message);
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -0,0 +1,300 @@
+#include "MemberTable.h"
+#include "Pacing.h"
+
+#include <algorithm>
+
+namespace Acaciavale {
+
+namespace {
+
+/// A dead record is kept this long, so that late rows do not revive it.
+constexpr Duration kDeadKept = std::chrono::minutes(30);
+constexpr std::size_t kMostRecords = 4096;
+constexpr std::size_t kRotatingPart = 4; ///< One row in this many.
+
+int UrgentSends(const MemberTable& aTable)
+{
+  return TellTimes(aTable.mRecords.size());
+}
+
+DigestRow RowOf(ShortId aId, const MemberRecord& aRecord)
+{
+  DigestRow row;
+  row.mId = aId;
+  row.mHeartbeat = aRecord.mState.mHeartbeat;
+  row.mInFlight = aRecord.mState.mInFlight;
+  row.mSettingsGeneration = aRecord.mState.mSettingsGeneration;
+  row.mDraining = aRecord.mState.mDraining;
+  row.mSeesStore = aRecord.mState.mSeesStore;
+  row.mLeft = aRecord.mLeft;
+  return row;
+}
+
+bool IsNews(const MemberRecord& aRecord, const DigestRow& aRow)
+{
+  return aRecord.mState.mDraining != aRow.mDraining ||
+         aRecord.mLeft != aRow.mLeft ||
+         aRecord.mState.mSettingsGeneration != aRow.mSettingsGeneration;
+}
+
+/// Returns whether the row told something that must spread fast.
+bool TakeRow(MemberRecord& aRecord,
+             const DigestRow& aRow,
+             TimePoint aNow,
+             int aUrgentSends)
+{
+  const bool news = IsNews(aRecord, aRow);
+  aRecord.mState.mHeartbeat = aRow.mHeartbeat;
+  aRecord.mState.mInFlight = aRow.mInFlight;
+  aRecord.mState.mDraining = aRow.mDraining;
+  aRecord.mState.mSeesStore = aRow.mSeesStore;
+  // NOTE: Generations never go back, whatever a peer says.
+  aRecord.mState.mSettingsGeneration =
+    std::max(aRecord.mState.mSettingsGeneration, aRow.mSettingsGeneration);
+  aRecord.mLeft = aRecord.mLeft || aRow.mLeft;
+  aRecord.mLastProgress = aNow;
+  aRecord.mHealth = aRecord.mLeft ? VmHealth::Dead : VmHealth::Alive;
+  if (news) {
+    aRecord.mUrgentSends = aUrgentSends;
+  }
+  return news;
+}
+
+void MergeDescribed(MemberTable& aTable,
+                    const VmDescribed& aVm,
+                    TimePoint aNow,
+                    MergeOutcome& aOutcome)
+{
+  const ShortId id = ShortIdOf(aVm.mState.mName, aVm.mState.mIncarnation);
+  if (id == aTable.mSelf || aTable.mRecords.contains(id) ||
+      aTable.mRecords.size() >= kMostRecords) {
+    return;
+  }
+  MemberRecord record;
+  record.mState = aVm.mState;
+  record.mLeft = aVm.mLeft;
+  record.mHealth = aVm.mLeft ? VmHealth::Dead : VmHealth::Alive;
+  record.mLastProgress = aNow;
+  record.mUrgentSends = UrgentSends(aTable);
+  aTable.mRecords.emplace(id, std::move(record));
+  aOutcome.mNews.push_back(id);
+}
+
+/// Ids other than the own that may be told: a dead VM's row tells nothing
+/// unless it left in order.
+std::vector<ShortId> TellableIds(const MemberTable& aTable)
+{
+  std::vector<ShortId> ids;
+  ids.reserve(aTable.mRecords.size());
+  for (const auto& [id, record] : aTable.mRecords) {
+    const bool tellable =
+      record.mHealth != VmHealth::Dead || record.mUrgentSends > 0;
+    if (id != aTable.mSelf && tellable) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+VmHealth HealthOf(const MemberRecord& aRecord,
+                  const FailureTimes& aTimes,
+                  TimePoint aNow)
+{
+  const Duration silence = aNow - aRecord.mLastProgress;
+  if (aRecord.mLeft || silence > aTimes.mDeadAfter) {
+    return VmHealth::Dead;
+  }
+  return silence > aTimes.mSuspectAfter ? VmHealth::Suspect : VmHealth::Alive;
+}
+
+} // namespace
+
+void BeatSelf(MemberTable& aTable, VmState aSelf, bool aLeft, TimePoint aNow)
+{
+  const ShortId id = ShortIdOf(aSelf.mName, aSelf.mIncarnation);
+  if (id != aTable.mSelf) {
+    aTable.mRecords.erase(aTable.mSelf);
+    aTable.mSelf = id;
+  }
+  const int urgentSends = UrgentSends(aTable);
+  MemberRecord& record = aTable.mRecords[id];
+  aSelf.mHeartbeat = record.mState.mHeartbeat + 1;
+  record.mState = std::move(aSelf);
+  record.mLeft = aLeft;
+  record.mLastProgress = aNow;
+  record.mUrgentSends = urgentSends;
+}
+
+MergeOutcome MergeDigest(MemberTable& aTable,
+                         const Digest& aDigest,
+                         TimePoint aNow)
+{
+  MergeOutcome outcome;
+  for (const VmDescribed& vm : aDigest.mDescribed) {
+    MergeDescribed(aTable, vm, aNow, outcome);
+  }
+  const int urgentSends = UrgentSends(aTable);
+  for (const DigestRow& row : aDigest.mRows) {
+    if (row.mId == aTable.mSelf) {
+      continue;
+    }
+    const auto place = aTable.mRecords.find(row.mId);
+    if (place == aTable.mRecords.end()) {
+      outcome.mUnknown.push_back(row.mId);
+      continue;
+    }
+    const bool newer = row.mHeartbeat > place->second.mState.mHeartbeat;
+    if (newer && TakeRow(place->second, row, aNow, urgentSends)) {
+      outcome.mNews.push_back(row.mId);
+    }
+  }
+  return outcome;
+}
+
+void AddSeed(MemberTable& aTable, const VmState& aState, TimePoint aNow)
+{
+  MergeOutcome ignored;
+  MergeDescribed(aTable, { aState, false }, aNow, ignored);
+}
+
+std::vector<DigestRow> ChooseRows(MemberTable& aTable, std::size_t aMost)
+{
+  std::vector<DigestRow> rows;
+  const auto self = aTable.mRecords.find(aTable.mSelf);
+  if (self != aTable.mRecords.end()) {
+    rows.push_back(RowOf(self->first, self->second));
+  }
+  std::vector<ShortId> ids = TellableIds(aTable);
+  const std::size_t room =
+    std::min(ids.size(), aMost > rows.size() ? aMost - rows.size() : 0);
+  const std::size_t rotating = room == ids.size() ? 0 : room / kRotatingPart;
+  std::vector<ShortId> chosen;
+  for (auto place = aTable.mRecords.upper_bound(aTable.mRotation);
+       chosen.size() < rotating;
+       ++place) {
+    if (place == aTable.mRecords.end()) {
+      place = aTable.mRecords.begin();
+    }
+    aTable.mRotation = place->first;
+    if (std::binary_search(ids.begin(), ids.end(), place->first)) {
+      chosen.push_back(place->first);
+    }
+  }
+  const std::set<ShortId> rotated(chosen.begin(), chosen.end());
+  std::erase_if(ids, [&rotated](ShortId aId) { return rotated.contains(aId); });
+  std::vector<std::pair<std::pair<int, Duration>, ShortId>> order;
+  order.reserve(ids.size());
+  for (const ShortId id : ids) {
+    const MemberRecord& record = aTable.mRecords.at(id);
+    order.push_back(
+      { { record.mUrgentSends, record.mLastProgress.time_since_epoch() }, id });
+  }
+  const std::size_t first = room - rotating;
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(first),
+                    order.end(),
+                    std::greater<>());
+  for (std::size_t index = 0; index < first; ++index) {
+    chosen.push_back(order[index].second);
+  }
+  for (const ShortId id : chosen) {
+    MemberRecord& record = aTable.mRecords.at(id);
+    record.mUrgentSends = std::max(0, record.mUrgentSends - 1);
+    rows.push_back(RowOf(id, record));
+  }
+  return rows;
+}
+
+std::vector<VmDescribed> Describe(const MemberTable& aTable,
+                                  const std::vector<ShortId>& aIds)
+{
+  std::vector<VmDescribed> described;
+  for (const ShortId id : aIds) {
+    const auto place = aTable.mRecords.find(id);
+    if (place != aTable.mRecords.end()) {
+      described.push_back({ place->second.mState, place->second.mLeft });
+    }
+  }
+  return described;
+}
+
+std::vector<Incarnation> JudgeHealth(MemberTable& aTable,
+                                     const FailureTimes& aTimes,
+                                     TimePoint aNow)
+{
+  std::vector<Incarnation> died;
+  for (auto place = aTable.mRecords.begin(); place != aTable.mRecords.end();) {
+    MemberRecord& record = place->second;
+    if (place->first == aTable.mSelf) {
+      ++place;
+      continue;
+    }
+    record.mHealth = HealthOf(record, aTimes, aNow);
+    if (record.mHealth == VmHealth::Dead && !record.mDeathReported) {
+      record.mDeathReported = true;
+      died.push_back({ record.mState.mName, record.mState.mIncarnation });
+    }
+    const bool forgotten = record.mHealth == VmHealth::Dead &&
+                           aNow - record.mLastProgress > kDeadKept;
+    place = forgotten ? aTable.mRecords.erase(place) : std::next(place);
+  }
+  return died;
+}
+
+void ForgiveSilence(MemberTable& aTable, Duration aGap)
+{
+  for (auto& [id, record] : aTable.mRecords) {
+    record.mLastProgress += aGap;
+  }
+}
+
+std::vector<ShortId> LivePeers(const MemberTable& aTable)
+{
+  std::vector<ShortId> ids;
+  for (const auto& [id, record] : aTable.mRecords) {
+    if (id != aTable.mSelf && record.mHealth != VmHealth::Dead) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+std::vector<ShortId> DrawPeers(const MemberTable& aTable,
+                               std::size_t aMost,
+                               Random& aRandom)
+{
+  std::vector<ShortId> ids = LivePeers(aTable);
+  const std::size_t count = std::min(aMost, ids.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    std::swap(ids[index], ids[index + aRandom.Below(ids.size() - index)]);
+  }
+  ids.resize(count);
+  return ids;
+}
+
+std::optional<ShortId> DrawDeadPeer(const MemberTable& aTable, Random& aRandom)
+{
+  std::vector<ShortId> ids;
+  for (const auto& [id, record] : aTable.mRecords) {
+    if (record.mHealth == VmHealth::Dead && !record.mLeft) {
+      ids.push_back(id);
+    }
+  }
+  if (ids.empty()) {
+    return std::nullopt;
+  }
+  return ids[aRandom.Below(ids.size())];
+}
+
+std::vector<Member> MembersOf(const MemberTable& aTable)
+{
+  std::vector<Member> members;
+  members.reserve(aTable.mRecords.size());
+  for (const auto& [id, record] : aTable.mRecords) {
+    members.push_back({ record.mState, record.mHealth });
+  }
+  std::sort(members.begin(), members.end());
+  return members;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibMembership/StoreRecord.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <Acaciavale/LibMembership/Membership.h>
+
+#include <Acaciavale/LibCore/Random.h>
+
+#include <string>
+#include <vector>
+
+/// Keeps this VM's record in the key-value service. Not thread-safe: one
+/// thread uses it.
+namespace Acaciavale {
+
+class StoreRecord
+{
+public:
+  StoreRecord(KeyValueStore aStore, std::uint64_t aSeed);
+
+  /// Keeps the lease and writes the record if it is missing or out of date.
+  ErrorOr<void> Update(const VmState& aState, Duration aTimeToLive);
+  /// The VMs that the service knows; records that cannot be read are left out.
+  ErrorOr<std::vector<VmState>> List() const;
+  void Revoke();
+
+private:
+  ErrorOr<void> KeepLease(Duration aTimeToLive);
+  ErrorOr<void> Write(const VmState& aState);
+
+  KeyValueStore mStore;
+  Random mRandom;
+  std::int64_t mLease = 0;
+  bool mWritten = false;
+  VmState mWrittenState;
+};
+
+} // namespace Acaciavale
--- a/include/Acaciavale/LibMembership/Membership.h
+++ b/include/Acaciavale/LibMembership/Membership.h
@@ -30,6 +30,7 @@
   std::int64_t mSettingsGeneration = 0;
   bool mSeesStore = true;
   std::uint64_t mHeartbeat = 0; ///< Rises with each digest of this VM.
+  std::string mOperatorAddress; ///< For operators, IP number and port.
 
   auto operator<=>(const VmState&) const = default;
 };
@@ -60,6 +61,11 @@
   Duration mDeadAfter = std::chrono::seconds(5);
   std::size_t mFanOut = 3; ///< Peers that each digest goes to.
   std::int64_t mBytesPerSecond = 4096;
+  /// Least time between reads of the list of VMs in the key-value service, and
+  /// between writes of the own record; both grow with the fleet.
+  Duration mStorePeriod = std::chrono::seconds(10);
+  std::size_t mHolders = 2; ///< Failure domains that Replicate tries to reach.
+  Duration mHoldDeadline = std::chrono::milliseconds(150); ///< Per attempt.
 
   auto operator<=>(const MembershipOptions&) const = default;
 };
@@ -97,13 +103,24 @@
   /// Tells the peers that this VM leaves, and stops.
   void Stop();
 
+  /// Tells the peers now what mSelf says, such as that this VM drains, and
+  /// brings the record in the key-value service up to date.
+  void Announce();
+
+  /// All VMs known, this one among them, ordered by name and incarnation.
   std::vector<Member> Members() const;
+  /// VMs that are not dead, this one among them.
   std::size_t LiveCount() const;
-  /// Peers by failure domain other than this VM's; returns how many distinct
-  /// domains acknowledged the entries.
+  /// Sends the entries to live peers in failure domains other than this VM's;
+  /// returns how many distinct domains acknowledged them. Blocks for at most
+  /// three attempts of the hold deadline.
   std::size_t Replicate(const std::vector<BillEntry>& aEntries);
   void TellForget(const Incarnation& aIncarnation, std::uint64_t aUpTo);
+  /// Bytes that this VM sent to its peers for control since the start, with
+  /// the headers of each call: digests, evidence and settings.
   std::int64_t BytesSent() const;
+  /// Bytes sent for bill entries; these grow with the requests, not the fleet.
+  std::int64_t EntryBytesSent() const;
 
 private:
   struct Private;
