Add the platform's stand-ins and the clients for them

Cause: every part needs a key-value service, endpoints, ratings and weights to run against, with faults that can be set. Change: acaciavale-stand-ins plays all of them in one process; LibPlatform gets its clients over libcurl, with a counted call budget, a circuit breaker and lost answers resolved by reading. POST and DELETE are never sent twice: libcurl by itself sends a request again when a kept connection is dead. Boost.Beast serves the stand-ins, as RESTinio can't break a connection in mid-answer.

--- /dev/null
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -0,0 +1,227 @@
+#include "LibPlatform/HttpClient.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <mutex>
+#include <vector>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr std::size_t kKeptHandles = 16;
+constexpr long kConnectionsPerHandle = 32;
+constexpr int kFirstErrorStatus = 400;
+
+struct CurlDeleter
+{
+  void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
+};
+
+using Handle = std::unique_ptr<CURL, CurlDeleter>;
+
+struct ListDeleter
+{
+  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+};
+
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+/// What is left of a body to send.
+struct Upload
+{
+  const std::string& mBody;
+  std::size_t mSent = 0;
+};
+
+std::size_t ReadBody(char* aTo,
+                     std::size_t aSize,
+                     std::size_t aCount,
+                     void* aFrom)
+{
+  auto& upload = *static_cast<Upload*>(aFrom);
+  const std::size_t bytes =
+    std::min(aSize * aCount, upload.mBody.size() - upload.mSent);
+  std::memcpy(aTo, upload.mBody.data() + upload.mSent, bytes);
+  upload.mSent += bytes;
+  return bytes;
+}
+
+std::size_t WriteBody(char* aFrom,
+                      std::size_t aSize,
+                      std::size_t aCount,
+                      void* aTo)
+{
+  static_cast<std::string*>(aTo)->append(aFrom, aSize * aCount);
+  return aSize * aCount;
+}
+
+long Milliseconds(Duration aTime)
+{
+  const auto whole =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return std::max<long>(1, static_cast<long>(whole));
+}
+
+HeaderList HeadersOf(const HttpCall& aCall)
+{
+  // NOTE: An empty Expect keeps libcurl from waiting for a 100 before the body.
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  if (aCall.mMethod == "POST") {
+    list = curl_slist_append(list, "Content-Type: application/json");
+  }
+  return HeaderList(list);
+}
+
+void SetMethod(CURL* aHandle, const HttpCall& aCall, Upload& aUpload)
+{
+  if (aCall.mMethod == "GET") {
+    return;
+  }
+  if (aCall.mMethod != "POST") {
+    // NOTE: libcurl sends a request again when a kept connection turns out to
+    // be
+    //       dead, although it may have been carried out. A new connection keeps
+    //       it from that.
+    curl_easy_setopt(aHandle, CURLOPT_CUSTOMREQUEST, aCall.mMethod.c_str());
+    curl_easy_setopt(aHandle, CURLOPT_FRESH_CONNECT, 1L);
+    return;
+  }
+  // NOTE: For the same reason there is no seek function: a body that can't be
+  //       rewound can't be sent twice.
+  curl_easy_setopt(aHandle, CURLOPT_POST, 1L);
+  curl_easy_setopt(aHandle, CURLOPT_READFUNCTION, ReadBody);
+  curl_easy_setopt(aHandle, CURLOPT_READDATA, &aUpload);
+  curl_easy_setopt(aHandle,
+                   CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(aCall.mBody.size()));
+}
+
+void SetOptions(CURL* aHandle, const HttpCall& aCall, std::string& aBody)
+{
+  curl_easy_setopt(aHandle, CURLOPT_URL, aCall.mUrl.c_str());
+  curl_easy_setopt(aHandle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(aHandle, CURLOPT_PROXY, "");
+  curl_easy_setopt(aHandle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(aHandle, CURLOPT_MAXCONNECTS, kConnectionsPerHandle);
+  curl_easy_setopt(aHandle, CURLOPT_TIMEOUT_MS, Milliseconds(aCall.mDeadline));
+  curl_easy_setopt(aHandle, CURLOPT_WRITEFUNCTION, WriteBody);
+  curl_easy_setopt(aHandle, CURLOPT_WRITEDATA, &aBody);
+}
+
+/// Whether the request may have reached the other side.
+bool MayHaveArrived(CURL* aHandle, CURLcode aResult)
+{
+  if (aResult == CURLE_COULDNT_CONNECT ||
+      aResult == CURLE_COULDNT_RESOLVE_HOST) {
+    return false;
+  }
+  long sent = 0;
+  curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &sent);
+  return sent > 0;
+}
+
+HttpAnswer AnswerOf(CURL* aHandle, std::string aBody)
+{
+  long status = 0;
+  curl_off_t retryAfter = 0;
+  curl_easy_getinfo(aHandle, CURLINFO_RESPONSE_CODE, &status);
+  if (status >= kFirstErrorStatus) {
+    curl_easy_getinfo(aHandle, CURLINFO_RETRY_AFTER, &retryAfter);
+  }
+  return { static_cast<int>(status),
+           std::move(aBody),
+           std::chrono::seconds(retryAfter) };
+}
+
+} // namespace
+
+struct HttpClient::Private
+{
+  Handle Take()
+  {
+    const std::lock_guard lock(mMutex);
+    if (mIdle.empty()) {
+      return Handle(curl_easy_init());
+    }
+    Handle handle = std::move(mIdle.back());
+    mIdle.pop_back();
+    return handle;
+  }
+
+  void Return(Handle aHandle)
+  {
+    curl_easy_reset(aHandle.get());
+    const std::lock_guard lock(mMutex);
+    if (mIdle.size() < kKeptHandles) {
+      mIdle.push_back(std::move(aHandle));
+    }
+  }
+
+  std::mutex mMutex;
+  std::vector<Handle> mIdle;
+};
+
+HttpClient::HttpClient()
+  : mPrivate(std::make_unique<Private>())
+{
+  static const CURLcode sInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(sInitialised);
+}
+
+HttpClient::~HttpClient() = default;
+
+ErrorOr<HttpAnswer> HttpClient::Call(const HttpCall& aCall)
+{
+  if (aCall.mDeadline <= Duration::zero()) {
+    return MakeError(ErrorCode::Unavailable, "No time is left for the call.");
+  }
+  Handle handle = mPrivate->Take();
+  if (!handle) {
+    return MakeError(ErrorCode::Unavailable, "No handle can be had.");
+  }
+  std::string body;
+  Upload upload{ aCall.mBody };
+  const HeaderList headers = HeadersOf(aCall);
+  SetOptions(handle.get(), aCall, body);
+  SetMethod(handle.get(), aCall, upload);
+  curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
+  const CURLcode result = curl_easy_perform(handle.get());
+  if (result != CURLE_OK) {
+    const bool arrived = MayHaveArrived(handle.get(), result);
+    return MakeError(arrived ? ErrorCode::OutcomeUnknown
+                             : ErrorCode::Unavailable,
+                     curl_easy_strerror(result));
+  }
+  HttpAnswer answer = AnswerOf(handle.get(), std::move(body));
+  mPrivate->Return(std::move(handle));
+  return answer;
+}
+
+HttpClient& SharedHttpClient()
+{
+  static HttpClient sClient;
+  return sClient;
+}
+
+std::string EncodeQuery(const std::string& aText)
+{
+  constexpr char kHexDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char letter : aText) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (std::isalnum(byte) != 0 || std::strchr("-._~", letter) != nullptr) {
+      encoded.push_back(letter);
+      continue;
+    }
+    encoded.push_back('%');
+    encoded.push_back(kHexDigits[byte >> 4]);
+    encoded.push_back(kHexDigits[byte & 15]);
+  }
+  return encoded;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibPlatform/HttpKeyValueClient.cpp
@@ -0,0 +1,306 @@
+#include "LibPlatform/CallGate.h"
+#include "LibPlatform/HttpClient.h"
+
+#include <Acaciavale/LibPlatform/HttpKeyValueClient.h>
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+
+namespace Acaciavale {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kStatusDone = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr int kFirstServerError = 500;
+
+/// Counters of calls, each safe to raise from any thread.
+struct Counters
+{
+  std::atomic<std::int64_t> mReads{ 0 };
+  std::atomic<std::int64_t> mWrites{ 0 };
+  std::atomic<std::int64_t> mFailures{ 0 };
+  std::atomic<std::int64_t> mRefusedByBudget{ 0 };
+  std::atomic<std::int64_t> mRefusedByBreaker{ 0 };
+};
+
+tl::unexpected<Error> Malformed()
+{
+  return MakeError(ErrorCode::Internal, "The store's answer is malformed.");
+}
+
+ErrorOr<json> Parsed(const std::string& aBody)
+{
+  json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return Malformed();
+  }
+  return body;
+}
+
+ErrorOr<KeyValueEntry> EntryOf(const json& aBody)
+{
+  try {
+    return KeyValueEntry{ aBody.at("key").get<std::string>(),
+                          aBody.at("value").get<std::string>(),
+                          aBody.at("revision").get<std::int64_t>() };
+  } catch (const json::exception&) {
+    return Malformed();
+  }
+}
+
+ErrorOr<std::vector<KeyValueEntry>> EntriesOf(const std::string& aBody)
+{
+  const json body = ACACIAVALE_TRY(Parsed(aBody));
+  if (!body.contains("entries") || !body["entries"].is_array()) {
+    return Malformed();
+  }
+  std::vector<KeyValueEntry> entries;
+  for (const json& entry : body["entries"]) {
+    entries.push_back(ACACIAVALE_TRY(EntryOf(entry)));
+  }
+  return entries;
+}
+
+ErrorOr<std::int64_t> NumberIn(const std::string& aBody, const char* aName)
+{
+  const json body = ACACIAVALE_TRY(Parsed(aBody));
+  if (!body.contains(aName) || !body[aName].is_number_integer()) {
+    return Malformed();
+  }
+  return body[aName].get<std::int64_t>();
+}
+
+/// The errors of a read: it has no outcome that could be unknown.
+Error AsReadError(Error aError)
+{
+  if (aError.mCode == ErrorCode::OutcomeUnknown) {
+    aError.mCode = ErrorCode::Unavailable;
+  }
+  return aError;
+}
+
+ErrorOr<void> CheckRead(const HttpAnswer& aAnswer)
+{
+  if (aAnswer.mStatus == kStatusDone) {
+    return {};
+  }
+  return MakeError(ErrorCode::Unavailable,
+                   "The store answered " + std::to_string(aAnswer.mStatus));
+}
+
+ErrorOr<void> CheckWrite(const HttpAnswer& aAnswer)
+{
+  if (aAnswer.mStatus == kStatusDone) {
+    return {};
+  }
+  if (aAnswer.mStatus == kStatusConflict) {
+    return MakeError(ErrorCode::Conflict, "The revision has changed.");
+  }
+  if (aAnswer.mStatus == kStatusNotFound) {
+    return MakeError(ErrorCode::NotFound, "The store knows no such thing.");
+  }
+  // NOTE: Only statuses below 500 tell that the store has refused the write.
+  return MakeError(aAnswer.mStatus >= kFirstServerError
+                     ? ErrorCode::OutcomeUnknown
+                     : ErrorCode::Invalid,
+                   "The store answered " + std::to_string(aAnswer.mStatus));
+}
+
+} // namespace
+
+struct HttpKeyValueClient::Private
+{
+  explicit Private(KeyValueClientOptions aOptions)
+    : mOptions(std::move(aOptions))
+    , mGate({ mOptions.mCallsPerSecond,
+              mOptions.mCallBurst,
+              mOptions.mBreakerPause },
+            MonotonicNow())
+  {
+  }
+
+  ErrorOr<HttpAnswer> Call(const char* aMethod,
+                           const std::string& aPath,
+                           const json& aBody,
+                           Duration aMoreTime)
+  {
+    const GateVerdict verdict = mGate.Enter(MonotonicNow());
+    if (verdict == GateVerdict::OverBudget) {
+      ++mCounters.mRefusedByBudget;
+      return MakeError(ErrorCode::Unavailable, "The call budget is spent.");
+    }
+    if (verdict == GateVerdict::BreakerOpen) {
+      ++mCounters.mRefusedByBreaker;
+      return MakeError(ErrorCode::Unavailable, "The store failed just now.");
+    }
+    const bool isWrite = std::string_view(aMethod) != "GET";
+    ++(isWrite ? mCounters.mWrites : mCounters.mReads);
+    HttpCall call;
+    call.mMethod = aMethod;
+    call.mUrl = "http://" + mOptions.mAddress + aPath;
+    call.mBody = isWrite ? aBody.dump() : "";
+    call.mDeadline = mOptions.mDeadline + aMoreTime;
+    ErrorOr<HttpAnswer> answer = mHttp.Call(call);
+    if (answer && answer->mStatus < kFirstServerError) {
+      mGate.Succeeded();
+    } else {
+      ++mCounters.mFailures;
+      mGate.Failed(MonotonicNow());
+    }
+    return answer;
+  }
+
+  ErrorOr<HttpAnswer> Get(const std::string& aPath, Duration aMoreTime = {})
+  {
+    return Call("GET", aPath, {}, aMoreTime).map_error(AsReadError);
+  }
+
+  ErrorOr<HttpAnswer> Post(const std::string& aPath, const json& aBody)
+  {
+    return Call("POST", aPath, aBody, {});
+  }
+
+  ErrorOr<std::optional<KeyValueEntry>> Read(const std::string& aKey)
+  {
+    const HttpAnswer answer =
+      ACACIAVALE_TRY(Get("/v1/kv?key=" + EncodeQuery(aKey)));
+    if (answer.mStatus == kStatusNotFound) {
+      return std::optional<KeyValueEntry>{};
+    }
+    if (auto done = CheckRead(answer); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    const json body = ACACIAVALE_TRY(Parsed(answer.mBody));
+    return std::optional{ ACACIAVALE_TRY(EntryOf(body)) };
+  }
+
+  ErrorOr<std::vector<KeyValueEntry>> List(const std::string& aPrefix)
+  {
+    const HttpAnswer answer =
+      ACACIAVALE_TRY(Get("/v1/kv?prefix=" + EncodeQuery(aPrefix)));
+    if (auto done = CheckRead(answer); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    return EntriesOf(answer.mBody);
+  }
+
+  ErrorOr<std::int64_t> Write(const CompareAndSwap& aWrite)
+  {
+    const json body{ { "key", aWrite.mKey },
+                     { "value", aWrite.mValue },
+                     { "expected_revision", aWrite.mExpectedRevision },
+                     { "lease", aWrite.mLease } };
+    const HttpAnswer answer = ACACIAVALE_TRY(Post("/v1/kv", body));
+    if (auto done = CheckWrite(answer); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    return NumberIn(answer.mBody, "revision");
+  }
+
+  ErrorOr<void> Remove(const std::string& aKey, std::int64_t aExpected)
+  {
+    const std::string path = "/v1/kv?key=" + EncodeQuery(aKey) +
+                             "&expected_revision=" + std::to_string(aExpected);
+    return CheckWrite(ACACIAVALE_TRY(Call("DELETE", path, {}, {})));
+  }
+
+  ErrorOr<std::vector<KeyValueEntry>> Watch(const std::string& aPrefix,
+                                            std::int64_t aAfter,
+                                            Duration aWait)
+  {
+    const auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aWait).count();
+    const HttpAnswer answer = ACACIAVALE_TRY(Get(
+      "/v1/watch?prefix=" + EncodeQuery(aPrefix) +
+        "&after=" + std::to_string(aAfter) + "&wait_ms=" + std::to_string(wait),
+      aWait));
+    if (auto done = CheckRead(answer); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    return EntriesOf(answer.mBody);
+  }
+
+  ErrorOr<std::int64_t> GrantLease(Duration aTimeToLive)
+  {
+    const auto live =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTimeToLive);
+    const HttpAnswer answer =
+      ACACIAVALE_TRY(Post("/v1/leases", { { "ttl_ms", live.count() } }));
+    if (auto done = CheckWrite(answer); !done) {
+      return tl::make_unexpected(done.error());
+    }
+    return NumberIn(answer.mBody, "lease");
+  }
+
+  ErrorOr<void> KeepLease(std::int64_t aLease)
+  {
+    return CheckWrite(
+      ACACIAVALE_TRY(Post("/v1/leases/keep", { { "lease", aLease } })));
+  }
+
+  ErrorOr<void> RevokeLease(std::int64_t aLease)
+  {
+    const std::string path = "/v1/leases?lease=" + std::to_string(aLease);
+    return CheckWrite(ACACIAVALE_TRY(Call("DELETE", path, {}, {})));
+  }
+
+  KeyValueClientOptions mOptions;
+  CallGate mGate;
+  HttpClient mHttp;
+  Counters mCounters;
+};
+
+HttpKeyValueClient::HttpKeyValueClient(KeyValueClientOptions aOptions)
+  : mPrivate(std::make_unique<Private>(std::move(aOptions)))
+{
+}
+
+HttpKeyValueClient::~HttpKeyValueClient() = default;
+
+KeyValueStore HttpKeyValueClient::Store()
+{
+  Private* client = mPrivate.get();
+  KeyValueStore store;
+  store.mRead = [client](const std::string& aKey) {
+    return client->Read(aKey);
+  };
+  store.mList = [client](const std::string& aPrefix) {
+    return client->List(aPrefix);
+  };
+  store.mCompareAndSwap = [client](const CompareAndSwap& aWrite) {
+    return client->Write(aWrite);
+  };
+  store.mRemove = [client](const std::string& aKey, std::int64_t aExpected) {
+    return client->Remove(aKey, aExpected);
+  };
+  store.mWatch =
+    [client](const std::string& aPrefix, std::int64_t aAfter, Duration aWait) {
+      return client->Watch(aPrefix, aAfter, aWait);
+    };
+  store.mGrantLease = [client](Duration aTimeToLive) {
+    return client->GrantLease(aTimeToLive);
+  };
+  store.mKeepLease = [client](std::int64_t aLease) {
+    return client->KeepLease(aLease);
+  };
+  store.mRevokeLease = [client](std::int64_t aLease) {
+    return client->RevokeLease(aLease);
+  };
+  return store;
+}
+
+KeyValueClientCounts HttpKeyValueClient::Counts() const
+{
+  const Counters& counters = mPrivate->mCounters;
+  return { counters.mReads,
+           counters.mWrites,
+           counters.mFailures,
+           counters.mRefusedByBudget,
+           counters.mRefusedByBreaker };
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Tests/StandIns/HttpListener.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Exchange.h"
+
+#include <memory>
+#include <string>
+
+namespace Acaciavale::StandIns {
+
+/// Threads that all listeners of this process share.
+class HttpThreads
+{
+public:
+  explicit HttpThreads(int aThreads);
+  ~HttpThreads();
+  HttpThreads(const HttpThreads&) = delete;
+  HttpThreads& operator=(const HttpThreads&) = delete;
+
+  /// Listens on 127.0.0.1, where port 0 lets the kernel choose; returns IP
+  /// number and port. Throws if the port can't be had.
+  std::string Listen(int aPort, Handler aHandler);
+
+  /// Calls the function again and again, with a pause in between.
+  void Every(Milliseconds aPause, std::function<void()> aCall);
+
+  /// Blocks until SIGTERM or SIGINT.
+  void WaitForSignal();
+
+private:
+  struct Private;
+  std::unique_ptr<Private> mPrivate;
+};
+
+} // namespace Acaciavale::StandIns
--- /dev/null
+++ b/Tests/StandIns/PlainService.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Deployment.h"
+#include "Exchange.h"
+#include "Faults.h"
+#include "RunLog.h"
+
+namespace Acaciavale::StandIns {
+
+/// A plain service that runs whatever it is asked and records it. Its part of
+/// the faults is its name. Thread-safe.
+class PlainService
+{
+public:
+  PlainService(FaultBoard& aFaults, RunLog& aRuns, ServiceSetup aSetup);
+
+  Task Serve(Exchange& aExchange);
+  EndpointListing Listing() const;
+
+private:
+  FaultBoard& mFaults;
+  RunLog& mRuns;
+  ServiceSetup mSetup;
+};
+
+} // namespace Acaciavale::StandIns
--- /dev/null
+++ b/Tests/StandIns/Ratings.cpp
@@ -0,0 +1,85 @@
+#include "Ratings.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Acaciavale::StandIns {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kPart = "ratings";
+constexpr double kRatedShare = 0.3;
+constexpr std::chrono::milliseconds kRatingTime{ 500 };
+constexpr std::size_t kRatingsPerAnswer = 1000;
+
+} // namespace
+
+Ratings::Ratings(const Deployment& aDeployment,
+                 FaultBoard& aFaults,
+                 std::uint64_t aSeed)
+  : mDeployment(aDeployment)
+  , mFaults(aFaults)
+  , mSeed(aSeed)
+{
+}
+
+Task Ratings::Serve(Exchange& aExchange)
+{
+  co_await aExchange.Sleep(mFaults.Of(kPart).mDelay);
+  if (mFaults.IsDown(kPart)) {
+    aExchange.Drop();
+    co_return;
+  }
+  if (aExchange.Asked().mMethod == "POST") {
+    Take(aExchange.Asked().mBody);
+    co_await aExchange.Reply(200, "{}");
+    co_return;
+  }
+  const auto after =
+    std::stoul(ValueOr(aExchange.Asked().mQuery, "after", "0"));
+  co_await aExchange.Reply(200, After(after));
+}
+
+void Ratings::Take(const std::string& aBody)
+{
+  const json body = json::parse(aBody);
+  const json answers =
+    body.contains("answers") ? body["answers"] : json::array({ body });
+  for (const json& answer : answers) {
+    if (!mFaults.Chance(kRatedShare)) {
+      continue;
+    }
+    const AnswerKey key{ answer.at("request").get<std::string>(),
+                         { answer.at("model").get<std::string>(),
+                           answer.at("version").get<std::string>() },
+                         answer.value("kind", "") };
+    const bool good = IsGood(mDeployment, mFaults, mSeed, key);
+    const std::lock_guard lock(mMutex);
+    mRatings.push_back({ key, good, MonotonicNow() + kRatingTime });
+  }
+}
+
+std::string Ratings::After(std::size_t aNumber) const
+{
+  const std::lock_guard lock(mMutex);
+  json ratings = json::array();
+  std::size_t last = aNumber;
+  for (std::size_t at = aNumber; at < mRatings.size(); ++at) {
+    const Rating& rating = mRatings[at];
+    if (MonotonicNow() < rating.mShownFrom ||
+        ratings.size() == kRatingsPerAnswer) {
+      break;
+    }
+    last = at + 1;
+    ratings.push_back({ { "number", last },
+                        { "request", rating.mAnswer.mRequest },
+                        { "model", rating.mAnswer.mVersion.mModel },
+                        { "version", rating.mAnswer.mVersion.mVersion },
+                        { "kind", rating.mAnswer.mKind },
+                        { "good", rating.mGood } });
+  }
+  return json{ { "ratings", ratings }, { "last", last } }.dump();
+}
+
+} // namespace Acaciavale::StandIns
--- /dev/null
+++ b/Tests/StandIns/Ratings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Exchange.h"
+#include "Truth.h"
+
+#include <deque>
+#include <mutex>
+#include <vector>
+
+namespace Acaciavale::StandIns {
+
+/// The service that rates answers: a sample of them, late. Part "ratings" of
+/// the faults; its delay is added to each answer. Thread-safe.
+class Ratings
+{
+public:
+  Ratings(const Deployment& aDeployment,
+          FaultBoard& aFaults,
+          std::uint64_t aSeed);
+
+  Task Serve(Exchange& aExchange);
+
+private:
+  struct Rating
+  {
+    AnswerKey mAnswer;
+    bool mGood = false;
+    TimePoint mShownFrom{};
+  };
+
+  void Take(const std::string& aBody);
+  std::string After(std::size_t aNumber) const;
+
+  const Deployment& mDeployment;
+  FaultBoard& mFaults;
+  std::uint64_t mSeed;
+  mutable std::mutex mMutex;
+  std::vector<Rating> mRatings; ///< The number of a rating is its place plus 1.
+};
+
+} // namespace Acaciavale::StandIns
