Judge roll-outs by sequential tests and a change detector

Cause: a roll-out must halt a bad version after few answers and hardly ever a good one, however often the evidence is looked at. Change: mixtures of likelihood ratios on errors and ratings against the old version's upper bound plus what the settings allow; Shiryaev-Roberts detectors for a version that turns bad late; latency by its standard error; the exposure budget counts answers beyond the old version's.

--- a/Libraries/LibMembership/StoreRecord.cpp
+++ b/Libraries/LibMembership/StoreRecord.cpp
@@ -32,7 +32,7 @@
 
 ErrorOr<void> StoreRecord::Update(const VmState& aState, Duration aTimeToLive)
 {
-  const auto kept = KeepLease(aTimeToLive);
+  auto kept = KeepLease(aTimeToLive);
   if (!kept) {
     return kept;
   }
--- /dev/null
+++ b/Libraries/LibRollout/JudgeRollout.cpp
@@ -0,0 +1,245 @@
+#include <Acaciavale/LibRollout/RolloutProgress.h>
+
+#include "BinomialTest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Acaciavale {
+
+namespace {
+
+/// Chances of halting a good version, over a whole roll-out; together below
+/// 1 %.
+constexpr double kErrorRisk = 0.003;
+constexpr double kRatingRisk = 0.003;
+constexpr double kExposureRisk = 0.001; ///< For errors and for ratings.
+/// Batches between two false alarms of a detector, at least.
+constexpr double kBatchesToFalseAlarm = 100'000;
+/// The old version's share is known from a sample as well.
+constexpr double kOldShareStandardErrors = 2;
+/// Latency has no sequential test; this many standard errors make up for
+/// looking often.
+constexpr double kLatencyStandardErrors = 4;
+/// Standard deviation of the time to the first token over its mean, at most.
+constexpr double kLatencyVariation = 2;
+constexpr double kLeastLatencySamples = 50;
+/// A step is not passed while the mixture leans that far against the version.
+constexpr double kDoubtfulLog = 1;
+/// Ratings of the new version before a step is passed, if the old one has any.
+constexpr double kLeastRatings = 20;
+
+BinomialCount Errors(const EvidenceCell& aCell)
+{
+  return { aCell.mErrors, aCell.mAnswers };
+}
+
+BinomialCount BadRatings(const EvidenceCell& aCell)
+{
+  return { aCell.mRated - aCell.mGood, aCell.mRated };
+}
+
+double ErrorBound(const RolloutSettings& aRollout, const EvidenceCell& aOld)
+{
+  return UpperShare(Errors(aOld), kOldShareStandardErrors) +
+         aRollout.mMaxErrorIncrease;
+}
+
+double RatingBound(const RolloutSettings& aRollout, const EvidenceCell& aOld)
+{
+  return UpperShare(BadRatings(aOld), kOldShareStandardErrors) +
+         aRollout.mMaxQualityDrop;
+}
+
+double Served(const EvidenceCell& aCell)
+{
+  return aCell.mAnswers - aCell.mErrors;
+}
+
+/// The latency ratio's logarithm, moved towards 0 by its standard error times
+/// the argument.
+double LatencyLog(const EvidenceCell& aOld,
+                  const EvidenceCell& aNew,
+                  double aStandardErrors)
+{
+  const double oldServed = Served(aOld);
+  const double newServed = Served(aNew);
+  const bool known = oldServed >= kLeastLatencySamples &&
+                     newServed >= kLeastLatencySamples &&
+                     aOld.mFirstTokenSeconds > 0 && aNew.mFirstTokenSeconds > 0;
+  if (!known) {
+    return 0;
+  }
+  const double ratio = (aNew.mFirstTokenSeconds / newServed) /
+                       (aOld.mFirstTokenSeconds / oldServed);
+  const double error =
+    kLatencyVariation * std::sqrt(1 / newServed + 1 / oldServed);
+  return std::log(ratio) - aStandardErrors * error;
+}
+
+/// Estimated bad answers beyond those that the old version would have given.
+double ExcessOf(const BinomialCount& aOld,
+                const BinomialCount& aNew,
+                double aAnswers)
+{
+  if (aNew.mTrials <= 0 || aOld.mTrials <= 0) {
+    return 0;
+  }
+  // NOTE: Ratings are a sample; their excess stands for all answers.
+  const double scale = aAnswers / aNew.mTrials;
+  return scale * (aNew.mBad - aNew.mTrials * aOld.mBad / aOld.mTrials);
+}
+
+/// The budget is used up only if the new version is surely worse at all: a few
+/// unlucky ratings, scaled up, would use any budget up.
+bool IsBeyond(const BinomialCount& aOld,
+              const BinomialCount& aNew,
+              double aAnswers,
+              std::int64_t aBudget)
+{
+  return ExcessOf(aOld, aNew, aAnswers) > static_cast<double>(aBudget) &&
+         LogMixture(aNew, UpperShare(aOld, kOldShareStandardErrors)) >
+           -std::log(kExposureRisk);
+}
+
+/// Why the version must stop, or empty.
+std::string ReasonToHalt(const RolloutSettings& aRollout,
+                         const EvidenceCell& aOld,
+                         const EvidenceCell& aNew)
+{
+  if (LogMixture(Errors(aNew), ErrorBound(aRollout, aOld)) >
+      -std::log(kErrorRisk)) {
+    return "The new version fails more often than allowed.";
+  }
+  if (LogMixture(BadRatings(aNew), RatingBound(aRollout, aOld)) >
+      -std::log(kRatingRisk)) {
+    return "The new version is rated worse than allowed.";
+  }
+  if (LatencyLog(aOld, aNew, kLatencyStandardErrors) >
+      std::log(aRollout.mMaxLatencyRatio)) {
+    return "The new version is slower than allowed.";
+  }
+  const std::int64_t budget = aRollout.mExposureBudget;
+  const bool spent =
+    IsBeyond(Errors(aOld), Errors(aNew), aNew.mAnswers, budget) ||
+    IsBeyond(BadRatings(aOld), BadRatings(aNew), Served(aNew), budget);
+  return spent ? "The exposure budget is used up." : "";
+}
+
+double Share(const BinomialCount& aCount)
+{
+  return aCount.mTrials > 0 ? aCount.mBad / aCount.mTrials : 0;
+}
+
+/// Why the step must go on, or empty.
+std::string ReasonToStay(const RolloutSettings& aRollout,
+                         const EvidenceCell& aOld,
+                         const EvidenceCell& aNew)
+{
+  if (aNew.mAnswers < static_cast<double>(aRollout.mMinimumSamples)) {
+    return "There are too few answers yet.";
+  }
+  if (aOld.mRated >= kLeastRatings && aNew.mRated < kLeastRatings) {
+    return "There are too few ratings yet.";
+  }
+  const bool doubtful =
+    LogMixture(Errors(aNew), ErrorBound(aRollout, aOld)) > kDoubtfulLog ||
+    LogMixture(BadRatings(aNew), RatingBound(aRollout, aOld)) > kDoubtfulLog;
+  const bool worse =
+    Share(Errors(aNew)) > Share(Errors(aOld)) + aRollout.mMaxErrorIncrease ||
+    (aOld.mRated > 0 && Share(BadRatings(aNew)) >
+                          Share(BadRatings(aOld)) + aRollout.mMaxQualityDrop) ||
+    LatencyLog(aOld, aNew, 0) > std::log(aRollout.mMaxLatencyRatio);
+  return doubtful || worse ? "The evidence is not clear yet." : "";
+}
+
+EvidenceCell Difference(const EvidenceCell& aLater,
+                        const EvidenceCell& aEarlier)
+{
+  const auto rise = [](double aTo, double aFrom) {
+    return std::max(0.0, aTo - aFrom);
+  };
+  EvidenceCell cell;
+  cell.mRated = rise(aLater.mRated, aEarlier.mRated);
+  cell.mGood = std::min(cell.mRated, rise(aLater.mGood, aEarlier.mGood));
+  cell.mAnswers = rise(aLater.mAnswers, aEarlier.mAnswers);
+  cell.mErrors =
+    std::min(cell.mAnswers, rise(aLater.mErrors, aEarlier.mErrors));
+  return cell;
+}
+
+bool IsAlarm(const std::vector<double>& aDetectors)
+{
+  return !aDetectors.empty() &&
+         LogMeanExp(aDetectors) > std::log(kBatchesToFalseAlarm);
+}
+
+} // namespace
+
+RolloutDecision JudgeRollout(const RolloutSettings& aRollout,
+                             const EvidenceCell& aOld,
+                             const EvidenceCell& aNew)
+{
+  const std::string halt = ReasonToHalt(aRollout, aOld, aNew);
+  if (!halt.empty()) {
+    return { RolloutVerdict::Halt, halt };
+  }
+  const std::string stay = ReasonToStay(aRollout, aOld, aNew);
+  if (!stay.empty()) {
+    return { RolloutVerdict::Stay, stay };
+  }
+  return { RolloutVerdict::Advance,
+           "The new version does as well as the old." };
+}
+
+RolloutWatch WatchRollout(const RolloutSettings& aRollout,
+                          RolloutWatch aWatch,
+                          const EvidenceCell& aOld,
+                          const EvidenceCell& aNew)
+{
+  const EvidenceCell batch = Difference(aNew, aWatch.mSeenNew);
+  aWatch.mSeenOld = aOld;
+  aWatch.mSeenNew = aNew;
+  if (batch.mAnswers > 0) {
+    aWatch.mErrorDetectors = Detect(std::move(aWatch.mErrorDetectors),
+                                    Errors(batch),
+                                    ErrorBound(aRollout, aOld));
+  }
+  if (batch.mRated > 0) {
+    aWatch.mRatingDetectors = Detect(std::move(aWatch.mRatingDetectors),
+                                     BadRatings(batch),
+                                     RatingBound(aRollout, aOld));
+  }
+  return aWatch;
+}
+
+RolloutDecision JudgeWatch(const RolloutSettings&, const RolloutWatch& aWatch)
+{
+  if (IsAlarm(aWatch.mErrorDetectors)) {
+    return { RolloutVerdict::Halt, "The new version has begun to fail." };
+  }
+  if (IsAlarm(aWatch.mRatingDetectors)) {
+    return { RolloutVerdict::Halt, "The new version's ratings have dropped." };
+  }
+  return { RolloutVerdict::Stay, "No turn is seen." };
+}
+
+RolloutView ViewOf(const RolloutSettings& aRollout,
+                   const RolloutProgress& aProgress)
+{
+  RolloutView view;
+  view.mModel = aRollout.mModel;
+  view.mFrom = aRollout.mFrom;
+  view.mTo = aRollout.mTo;
+  view.mHalted = aProgress.mPhase == RolloutPhase::Halted;
+  if (aProgress.mPhase == RolloutPhase::Done) {
+    view.mShare = 1;
+  } else if (!view.mHalted && !aRollout.mSteps.empty()) {
+    // NOTE: A pause keeps the share: sessions stay spread as they are.
+    const std::size_t last = aRollout.mSteps.size() - 1;
+    view.mShare = aRollout.mSteps[std::min(aProgress.mStep, last)];
+  }
+  return view;
+}
+
+} // namespace Acaciavale
