--- /dev/null
+++ b/Benchmarks/DecisionMeasure.cpp
@@ -0,0 +1,50 @@
+#include "DecisionMeasureParts/Rows.h"
+#include "DecisionMeasureParts/Table.h"
+
+#include <cstdio>
+#include <cstring>
+
+/// Prints the goal table of the decisions; an argument names one row.
+
+namespace {
+
+struct Row
+{
+  const char* mName;
+  void (*mMeasure)();
+};
+
+using namespace Acaciavale::DecisionMeasure;
+
+constexpr Row kRows[] = {
+  { "slow", MeasureSlowReplica },  { "urgent", MeasureUrgent },
+  { "accounts", MeasureAccounts }, { "overload", MeasureOverload },
+  { "prefix", MeasurePrefix },     { "domain", MeasureDomain },
+  { "faulty", MeasureFaulty },
+};
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const char* only = aCount > 1 ? aArguments[1] : nullptr;
+  bool isKnown = only == nullptr;
+  for (const Row& row : kRows) {
+    isKnown = isKnown || std::strcmp(only, row.mName) == 0;
+  }
+  if (!isKnown) {
+    std::fprintf(stderr, "Unknown row. The rows are:");
+    for (const Row& row : kRows) {
+      std::fprintf(stderr, " %s", row.mName);
+    }
+    std::fprintf(stderr, "\n");
+    return 2;
+  }
+  PrintHeading();
+  for (const Row& row : kRows) {
+    if (only == nullptr || std::strcmp(only, row.mName) == 0) {
+      row.mMeasure();
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/Benchmarks/DecisionMeasureParts/LoadRows.cpp
@@ -0,0 +1,146 @@
+#include "PoolRun.h"
+#include "Rows.h"
+#include "Table.h"
+
+#include <algorithm>
+
+/// Rows on overload and on fairness between classes and accounts.
+namespace Acaciavale::DecisionMeasure {
+
+namespace {
+
+PoolScenario ScenarioOf(const Size& aSize, Policy aPolicy)
+{
+  PoolScenario scenario;
+  scenario.mPolicy = aPolicy;
+  scenario.mReplicas = aSize.mReplicas;
+  scenario.mVms = aSize.mVms;
+  scenario.mDomains = aSize.mDomains;
+  scenario.mAdmission = aPolicy == Policy::Ours;
+  scenario.mRetries = aPolicy == Policy::Ours;
+  return scenario;
+}
+
+void Append(std::vector<double>& aTo, const std::vector<double>& aFrom)
+{
+  aTo.insert(aTo.end(), aFrom.begin(), aFrom.end());
+}
+
+/// p99 of the first class in the burst over its p99 without any burst.
+double BurstRatio(PoolScenario aScenario)
+{
+  std::vector<double> burst;
+  std::vector<double> quiet;
+  for (const std::uint64_t seed : kSeeds) {
+    aScenario.mSeed = seed;
+    Append(burst, RunPool(aScenario).mClasses[0].mBurstLatencies);
+    PoolScenario calm = aScenario;
+    calm.mClasses[1].mBurst = 1;
+    Append(quiet, RunPool(calm).mClasses[0].mBurstLatencies);
+  }
+  return Quantile(burst, 0.99) / Quantile(quiet, 0.99);
+}
+
+PoolScenario UrgentScenario(const Size& aSize, Policy aPolicy)
+{
+  PoolScenario scenario = ScenarioOf(aSize, aPolicy);
+  WorkClass lookups{ "lookups", Priority::Urgent, 0.1, 0.05 };
+  WorkClass drafts{ "drafts", Priority::Batch, 4, 0.5, 3 };
+  drafts.mFirstAccount = 1;
+  scenario.mClasses = { lookups, drafts };
+  return scenario;
+}
+
+PoolScenario AccountScenario(const Size& aSize, Policy aPolicy)
+{
+  PoolScenario scenario = ScenarioOf(aSize, aPolicy);
+  WorkClass others{ "others", Priority::Interactive, 1, 0.54 };
+  others.mAccounts = 9;
+  WorkClass loud{ "loud", Priority::Interactive, 1, 0.06, 10 };
+  loud.mFirstAccount = 9;
+  scenario.mClasses = { others, loud };
+  // NOTE: Each account may send half as much again as its usual share.
+  scenario.mAccountRate = 0.06 * 1.5 * aSize.mReplicas * scenario.mSlots;
+  return scenario;
+}
+
+void PrintRatio(const char* aRow,
+                const Size& aSize,
+                PoolScenario (*aScenario)(const Size&, Policy),
+                double aGoal)
+{
+  PrintFigure(aRow,
+              aSize.mName,
+              "p99 in the burst / quiet, ours",
+              BurstRatio(aScenario(aSize, Policy::Ours)),
+              Bound::AtMost,
+              aGoal);
+  PrintFigure(aRow,
+              aSize.mName,
+              "p99 in the burst / quiet, round robin",
+              BurstRatio(aScenario(aSize, Policy::RoundRobin)));
+}
+
+void MeasureOverloadAt(const Size& aSize, Policy aPolicy, const char* aName)
+{
+  PoolScenario scenario = ScenarioOf(aSize, aPolicy);
+  WorkClass work{ "work", Priority::Interactive, 1, 2 };
+  work.mDeadlineSeconds = 4;
+  scenario.mClasses = { work };
+  double goodput = 0;
+  double amplification = 0;
+  for (const std::uint64_t seed : kSeeds) {
+    scenario.mSeed = seed;
+    const PoolResult result = RunPool(scenario);
+    const double seconds = scenario.mSeconds - scenario.mWarmUpSeconds;
+    const double capacity = aSize.mReplicas * scenario.mSlots * seconds;
+    goodput += result.mGoodWork / capacity / kSeeds.size();
+    amplification +=
+      result.mDispatches / std::max(1.0, result.mAdmitted) / kSeeds.size();
+  }
+  const bool isOurs = aPolicy == Policy::Ours;
+  PrintFigure("overload",
+              aSize.mName,
+              std::string("goodput / capacity, ") + aName,
+              goodput,
+              isOurs ? Bound::AtLeast : Bound::None,
+              0.95);
+  PrintFigure("overload",
+              aSize.mName,
+              std::string("dispatches / admitted, ") + aName,
+              amplification,
+              isOurs ? Bound::AtMost : Bound::None,
+              1.1);
+}
+
+} // namespace
+
+void MeasureUrgent()
+{
+  for (const Size& size : Sizes()) {
+    if (size.mReplicas <= 100) {
+      PrintRatio("urgent", size, UrgentScenario, 1.5);
+    }
+  }
+}
+
+void MeasureAccounts()
+{
+  for (const Size& size : Sizes()) {
+    if (size.mReplicas <= 100) {
+      PrintRatio("accounts", size, AccountScenario, 1.2);
+    }
+  }
+}
+
+void MeasureOverload()
+{
+  for (const Size& size : Sizes()) {
+    if (size.mReplicas <= 100) {
+      MeasureOverloadAt(size, Policy::Ours, "ours");
+      MeasureOverloadAt(size, Policy::RoundRobin, "round robin");
+    }
+  }
+}
+
+} // namespace Acaciavale::DecisionMeasure
--- /dev/null
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "PoolRun.h"
+
+#include <Acaciavale/LibAdmission/Admission.h>
+#include <Acaciavale/LibRouting/EndpointChoice.h>
+#include <Acaciavale/LibRouting/EndpointHealth.h>
+
+#include <optional>
+
+/// One VM of the deployment: what it knows of the pool, and how it chooses.
+namespace Acaciavale::DecisionMeasure {
+
+TimePoint AtSeconds(double aSeconds);
+
+/// What the choice needs to know of one dispatch.
+struct DispatchFake
+{
+  double mNow = 0;
+  double mClassSeconds = 1;
+  Priority mPriority = Priority::Interactive;
+  std::uint64_t mPrefixHash = 0;
+  std::vector<std::uint32_t> mTried;
+  /// Whether each replica is believed to cache the prefix; empty is unknown.
+  const std::vector<std::vector<char>>* mCached = nullptr;
+  std::uint32_t mPrefix = 0;
+};
+
+class RouterFake
+{
+public:
+  RouterFake(const PoolScenario& aScenario,
+             std::uint32_t aVm,
+             std::uint32_t aDomain);
+
+  /// The replica to send to; none if none may take the work.
+  std::optional<std::uint32_t> Choose(const DispatchFake& aDispatch);
+
+  AdmissionDecision Admit(const std::string& aAccount,
+                          const WorkClass& aClass,
+                          const Settings& aSettings,
+                          double aNow);
+
+  void NoteSent(std::uint32_t aReplica);
+  void NoteEnded(std::uint32_t aReplica,
+                 const EndpointOutcome& aOutcome,
+                 double aNow);
+  void NoteReport(std::uint32_t aReplica,
+                  std::int32_t aInFlight,
+                  std::int32_t aOwnInFlight,
+                  double aTakenAt);
+  void NoteLeaving(std::uint32_t aReplica);
+
+  AdmissionControl mAdmission;
+  AttemptBudget mRetryBudget;
+
+private:
+  std::optional<std::uint32_t> ChooseOurs(const DispatchFake& aDispatch);
+  std::optional<std::uint32_t> ChooseLeastReported();
+  std::optional<std::uint32_t> ChooseHome(std::uint64_t aPrefixHash);
+  void Refresh(const DispatchFake& aDispatch);
+
+  const PoolScenario& mScenario;
+  std::uint32_t mDomain;
+  Random mRandom;
+  std::vector<EndpointView> mViews; ///< The subset; mIndex is the replica.
+  std::vector<EndpointHealth> mHealth;
+  std::vector<double> mReportedAt;
+  std::vector<std::int32_t> mPositions; ///< Of each replica; -1 is none.
+  std::uint64_t mNext;
+};
+
+} // namespace Acaciavale::DecisionMeasure
--- a/Libraries/LibAdmission/AdmissionControl.cpp
+++ b/Libraries/LibAdmission/AdmissionControl.cpp
@@ -13,9 +13,10 @@
 namespace {
 
 constexpr std::size_t kShards = 16;
+constexpr double kBatchReservedShare = 0.15;
 /// Share of the pool's slots up to which a class may fill it. Urgent work may
 /// queue for as long as its deadline lets it.
-constexpr double kBatchFill = 0.85;
+constexpr double kBatchFill = 1 - kBatchReservedShare;
 constexpr double kInteractiveFill = 1.1;
 constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
 constexpr Duration kLongestRetry = std::chrono::seconds(60);
@@ -168,6 +169,11 @@
   }
 }
 
+double ReservedShare(Priority aPriority)
+{
+  return aPriority == Priority::Batch ? kBatchReservedShare : 0;
+}
+
 std::string Describe(AdmissionVerdict aVerdict)
 {
   switch (aVerdict) {
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -36,7 +36,8 @@
   const double seconds = aEndpoint.mSecondsPerRequest > 0
                            ? aEndpoint.mSecondsPerRequest
                            : aUsualSeconds;
-  const double slots = std::max(1, aEndpoint.mSlots);
+  const double slots =
+    std::max(1.0, aEndpoint.mSlots * (1 - aQuery.mReservedShare));
   const double waiting = EstimatedInFlight(aEndpoint) + 1 - slots;
   double score = seconds * (1 + std::max(0.0, waiting) / slots);
   score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
--- /dev/null
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -0,0 +1,153 @@
+#include <Acaciavale/LibRouting/EndpointHealth.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr double kHalfLifeSeconds = 10;
+/// Weight of a new measurement in the smoothed speed.
+constexpr double kSpeedWeight = 0.2;
+constexpr std::int32_t kErrorsInARow = 3;
+/// Errors, by count and by share above the pool's, that earn an ejection.
+constexpr double kMinErrors = 4;
+constexpr double kErrorShareAbovePool = 0.3;
+constexpr Duration kFirstEjection = std::chrono::seconds(5);
+constexpr std::int32_t kMaxDoublings = 5;
+/// Time without an error after which earlier ejections are forgotten.
+constexpr Duration kCleanTime = std::chrono::seconds(60);
+/// Successes in a row until an endpoint that was ejected counts as well.
+constexpr std::int32_t kProbationSuccesses = 8;
+
+EndpointHealth Aged(EndpointHealth aHealth, TimePoint aNow)
+{
+  const double elapsed =
+    std::chrono::duration<double>(aNow - aHealth.mUpdatedAt).count();
+  const double factor = std::exp2(-std::max(0.0, elapsed) / kHalfLifeSeconds);
+  aHealth.mSuccesses *= factor;
+  aHealth.mErrors *= factor;
+  aHealth.mUpdatedAt = std::max(aHealth.mUpdatedAt, aNow);
+  return aHealth;
+}
+
+bool IsOnProbation(const EndpointHealth& aHealth)
+{
+  return aHealth.mEjections > 0 &&
+         aHealth.mConsecutiveSuccesses < kProbationSuccesses;
+}
+
+EndpointHealth Ejected(EndpointHealth aHealth, TimePoint aNow)
+{
+  const std::int32_t doublings = std::min(aHealth.mEjections, kMaxDoublings);
+  aHealth.mEjectedUntil = aNow + kFirstEjection * (1 << doublings);
+  aHealth.mEjections += 1;
+  aHealth.mConsecutiveErrors = 0;
+  aHealth.mConsecutiveSuccesses = 0;
+  aHealth.mErrors = 0;
+  aHealth.mSuccesses = 0;
+  return aHealth;
+}
+
+double PoolErrorShare(const std::vector<EndpointHealth>& aPool)
+{
+  double errors = 0;
+  double all = 0;
+  for (const EndpointHealth& health : aPool) {
+    errors += health.mErrors;
+    all += health.mErrors + health.mSuccesses;
+  }
+  return all > 0 ? errors / all : 0;
+}
+
+} // namespace
+
+EndpointHealth Recorded(EndpointHealth aHealth,
+                        const EndpointOutcome& aOutcome,
+                        TimePoint aNow)
+{
+  aHealth = Aged(aHealth, aNow);
+  if (!aOutcome.mOk) {
+    aHealth.mErrors += 1;
+    aHealth.mConsecutiveErrors += 1;
+    aHealth.mConsecutiveSuccesses = 0;
+    return aHealth;
+  }
+  aHealth.mSuccesses += 1;
+  aHealth.mConsecutiveErrors = 0;
+  aHealth.mConsecutiveSuccesses += 1;
+  const double weight = aHealth.mSecondsPerRequest > 0 ? kSpeedWeight : 1;
+  aHealth.mSecondsPerRequest +=
+    weight * (aOutcome.mServiceSeconds - aHealth.mSecondsPerRequest);
+  if (aNow - aHealth.mEjectedUntil > kCleanTime && !IsOnProbation(aHealth)) {
+    aHealth.mEjections = 0;
+  }
+  return aHealth;
+}
+
+double ErrorShare(const EndpointHealth& aHealth)
+{
+  const double all = aHealth.mSuccesses + aHealth.mErrors;
+  return all > 0 ? aHealth.mErrors / all : 0;
+}
+
+bool ShouldEject(const EndpointHealth& aHealth, double aPoolErrorShare)
+{
+  const std::int32_t errorsInARow = IsOnProbation(aHealth) ? 1 : kErrorsInARow;
+  if (aHealth.mConsecutiveErrors >= errorsInARow) {
+    return true;
+  }
+  return aHealth.mErrors >= kMinErrors &&
+         ErrorShare(aHealth) > aPoolErrorShare + kErrorShareAbovePool;
+}
+
+bool IsEjected(const EndpointHealth& aHealth, TimePoint aNow)
+{
+  return aNow < aHealth.mEjectedUntil;
+}
+
+bool IsBlocked(const EndpointHealth& aHealth,
+               std::int32_t aOwnInFlight,
+               TimePoint aNow)
+{
+  if (IsEjected(aHealth, aNow)) {
+    return true;
+  }
+  return IsOnProbation(aHealth) && aOwnInFlight > aHealth.mConsecutiveSuccesses;
+}
+
+std::vector<EndpointHealth> WithEjections(std::vector<EndpointHealth> aPool,
+                                          double aCeiling,
+                                          TimePoint aNow)
+{
+  const auto most = static_cast<std::int64_t>(
+    std::clamp(aCeiling, 0.0, 1.0) * static_cast<double>(aPool.size()));
+  auto ejected = static_cast<std::int64_t>(
+    std::count_if(aPool.begin(), aPool.end(), [&](const auto& aHealth) {
+      return IsEjected(aHealth, aNow);
+    }));
+  const double poolErrorShare = PoolErrorShare(aPool);
+  std::vector<std::size_t> earned;
+  for (std::size_t index = 0; index < aPool.size(); ++index) {
+    if (!IsEjected(aPool[index], aNow) &&
+        ShouldEject(aPool[index], poolErrorShare)) {
+      earned.push_back(index);
+    }
+  }
+  std::stable_sort(
+    earned.begin(), earned.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return ErrorShare(aPool[aLeft]) > ErrorShare(aPool[aRight]);
+    });
+  for (const std::size_t index : earned) {
+    if (ejected >= most) {
+      break;
+    }
+    aPool[index] = Ejected(aPool[index], aNow);
+    ejected += 1;
+  }
+  return aPool;
+}
+
+} // namespace Acaciavale
--- a/include/Acaciavale/LibAdmission/Admission.h
+++ b/include/Acaciavale/LibAdmission/Admission.h
@@ -54,6 +54,9 @@
   auto operator<=>(const AdmissionDecision&) const = default;
 };
 
+/// Share of the pool's slots that a class leaves free for more urgent ones.
+double ReservedShare(Priority aPriority);
+
 std::string Describe(AdmissionVerdict aVerdict);
 
 /// Admission over all accounts, in shards by account, each under its own lock.
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -44,6 +44,9 @@
   /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
   /// it on are then tried in an order that all VMs share.
   std::uint64_t mPrefixHash = 0;
+  /// Share of each endpoint's slots that this request leaves to more urgent
+  /// ones.
+  double mReservedShare = 0;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
@@ -58,6 +61,22 @@
   auto operator<=>(const EndpointDecision&) const = default;
 };
 
+/// What a whole pool looks like to one VM.
+struct PoolEstimate
+{
+  std::int64_t mSlots = 0;
+  std::int64_t mInFlight = 0; ///< Everybody's.
+  double mSecondsPerRequest = 0;
+
+  auto operator<=>(const PoolEstimate&) const = default;
+};
+
+/// Sums a pool over the endpoints that take work. What this VM has started or
+/// finished since the last report counts once for each live VM: callers spread
+/// over the VMs, so the others' load has moved as this one's has.
+PoolEstimate EstimatePool(const std::vector<EndpointView>& aEndpoints,
+                          std::uint32_t aLiveVms);
+
 EndpointDecision ChooseEndpoint(const std::vector<EndpointView>& aEndpoints,
                                 const EndpointQuery& aQuery,
                                 Random& aRandom);
--- /dev/null
+++ b/include/Acaciavale/LibRouting/EndpointHealth.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Time.h>
+
+#include <cstdint>
+#include <vector>
+
+/// Outlier ejection: endpoints that fail get no work for a while, within a
+/// ceiling on the share of the pool.
+namespace Acaciavale {
+
+/// How one dispatch ended at an endpoint.
+struct EndpointOutcome
+{
+  bool mOk = true;
+  double mServiceSeconds = 0; ///< Of a success, without its time in a queue.
+
+  auto operator<=>(const EndpointOutcome&) const = default;
+};
+
+/// What one VM has seen of one endpoint. Counts age by half every 10 seconds.
+struct EndpointHealth
+{
+  double mSuccesses = 0;
+  double mErrors = 0;
+  std::int32_t mConsecutiveErrors = 0;
+  std::int32_t mConsecutiveSuccesses = 0;
+  double mSecondsPerRequest = 0; ///< Smoothed over successes; 0 is unknown.
+  TimePoint mUpdatedAt{};
+  TimePoint mEjectedUntil{};
+  std::int32_t mEjections = 0; ///< In a row, without a clean time between.
+
+  auto operator<=>(const EndpointHealth&) const = default;
+};
+
+/// The health after one more outcome. An endpoint whose first answer after an
+/// ejection is an error is to be ejected again at once, for twice as long.
+EndpointHealth Recorded(EndpointHealth aHealth,
+                        const EndpointOutcome& aOutcome,
+                        TimePoint aNow);
+
+/// Recent share of failures, 0 to 1.
+double ErrorShare(const EndpointHealth& aHealth);
+
+/// Whether the endpoint earns an ejection: errors in a row, or a share of
+/// errors far above what the pool shows.
+bool ShouldEject(const EndpointHealth& aHealth, double aPoolErrorShare);
+
+bool IsEjected(const EndpointHealth& aHealth, TimePoint aNow);
+
+/// Whether the endpoint may take no more work from this VM now: ejected, or
+/// back from an ejection, with as many requests out as successes since.
+bool IsBlocked(const EndpointHealth& aHealth,
+               std::int32_t aOwnInFlight,
+               TimePoint aNow);
+
+/// Ejects what earns it, worst first, while no more than the ceiling's share
+/// of the pool is ejected. A pool whose endpoints all fail alike keeps serving
+/// on the rest: then the fault is likely not theirs.
+std::vector<EndpointHealth> WithEjections(std::vector<EndpointHealth> aPool,
+                                          double aCeiling,
+                                          TimePoint aNow);
+
+} // namespace Acaciavale
