--- a/Libraries/LibSettings/CrossChecks.cpp
+++ b/Libraries/LibSettings/CrossChecks.cpp
@@ -80,10 +80,6 @@
 
 void CheckRequired(Checking& aChecking)
 {
-  const SectionName deployment{ SectionKind::Deployment, "" };
-  if (!aChecking.mTree.mSections.contains(deployment)) {
-    Report(aChecking, { "", 0 }, "there is no [deployment] section");
-  }
   for (const auto& [name, section] : aChecking.mTree.mSections) {
     const bool isDefaults =
       name.mPath.empty() && name.mKind != SectionKind::Deployment;
--- a/Libraries/LibSettings/SettingsStore.cpp
+++ b/Libraries/LibSettings/SettingsStore.cpp
@@ -93,7 +93,7 @@
 {
   for (std::int64_t chunk = 0; chunk < aRoot.mChunks; ++chunk) {
     const auto start = static_cast<std::size_t>(chunk) * kChunkBytes;
-    const auto written = CreateImmutable(
+    auto written = CreateImmutable(
       aStore, BodyKey(aRoot.mDigest, chunk), aBody.substr(start, kChunkBytes));
     if (!written) {
       return written;
