--- /dev/null
+++ b/Libraries/LibSettings/SettingsReport.cpp
@@ -0,0 +1,268 @@
+#include <Acaciavale/LibSettings/SettingsReport.h>
+
+#include "EffectiveSettings.h"
+#include "Text.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace Acaciavale {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kIndent = 2;
+constexpr std::size_t kDigestShown = 12;
+
+std::string Rendered(const Json& aJson)
+{
+  // NOTE: A file name may hold bytes that are not UTF-8.
+  return aJson.dump(kIndent, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+std::string At(const Place& aPlace)
+{
+  return aPlace.mFile + ":" + std::to_string(aPlace.mLine);
+}
+
+std::string StatementText(const SettingRow& aRow, const Origin& aOrigin)
+{
+  return At(aOrigin.mValue.mPlace) + " [" + Describe(aOrigin.mSection) + "] " +
+         Shown(aRow, aOrigin.mValue.mText);
+}
+
+std::string TypeText(const SettingRow& aRow)
+{
+  return aRow.mTakesEffect == TakesEffect::AtOnce ? "at once"
+                                                  : "for new connections";
+}
+
+Json OriginsJson(const Explained& aExplained)
+{
+  Json origins = Json::array();
+  for (const Origin& origin : aExplained.mValue.mChain) {
+    origins.push_back(
+      { { "section", Describe(origin.mSection) },
+        { "file", origin.mValue.mPlace.mFile },
+        { "line", origin.mValue.mPlace.mLine },
+        { "value", Shown(aExplained.mValue.mRow, origin.mValue.mText) } });
+  }
+  return origins;
+}
+
+/// The lines of a file where secrets are stated.
+std::vector<std::size_t> SecretLines(const SettingsTree& aTree,
+                                     const std::string& aFile)
+{
+  std::vector<std::size_t> lines;
+  for (const auto& [name, section] : aTree.mSections) {
+    for (const auto& [key, value] : section.mValues) {
+      const auto row = FindRow(name.mKind, key);
+      if (row && row->mType == SettingType::Secret &&
+          value.mPlace.mFile == aFile) {
+        lines.push_back(value.mPlace.mLine);
+      }
+    }
+  }
+  return lines;
+}
+
+std::string WithoutSecrets(const SettingsTree& aTree, const SettingsFile& aFile)
+{
+  const auto secrets = SecretLines(aTree, aFile.mName);
+  std::string text;
+  std::size_t line = 1;
+  std::size_t start = 0;
+  while (start < aFile.mText.size()) {
+    const std::size_t end =
+      std::min(aFile.mText.find('\n', start), aFile.mText.size() - 1);
+    const std::string whole = aFile.mText.substr(start, end + 1 - start);
+    const bool isSecret =
+      std::find(secrets.begin(), secrets.end(), line) != secrets.end();
+    const std::size_t mark = whole.find_first_of("=:");
+    text += isSecret && mark != std::string::npos
+              ? whole.substr(0, mark + 1) + " (hidden)\n"
+              : whole;
+    start = end + 1;
+    ++line;
+  }
+  return text;
+}
+
+} // namespace
+
+std::vector<Explained> Explain(const SettingsTree& aTree,
+                               const ExplainQuery& aQuery)
+{
+  std::vector<Explained> explained;
+  for (const auto& [name, section] : aTree.mSections) {
+    if (aQuery.mSection && name != *aQuery.mSection) {
+      continue;
+    }
+    for (const EffectiveValue& value : EffectiveOf(aTree, name)) {
+      if (aQuery.mKey.empty() || value.mRow.mName == aQuery.mKey) {
+        explained.push_back({ name, value });
+      }
+    }
+  }
+  return explained;
+}
+
+std::optional<SectionName> FindAccountSection(const SettingsTree& aTree,
+                                              const std::string& aAccount)
+{
+  for (const auto& [name, section] : aTree.mSections) {
+    if (name.mKind == SectionKind::Account &&
+        (name.mPath == aAccount || LastName(name.mPath) == aAccount)) {
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string FindingsText(const Findings& aFindings)
+{
+  std::string text;
+  for (const Finding& finding : aFindings) {
+    text += Describe(finding) + "\n";
+  }
+  return text;
+}
+
+std::string FindingsJson(const Findings& aFindings)
+{
+  Json findings = Json::array();
+  for (const Finding& finding : aFindings) {
+    findings.push_back({ { "file", finding.mPlace.mFile },
+                         { "line", finding.mPlace.mLine },
+                         { "message", finding.mMessage } });
+  }
+  return Rendered({ { "findings", findings } });
+}
+
+std::string ExplainText(const std::vector<Explained>& aExplained)
+{
+  std::string text;
+  for (const Explained& one : aExplained) {
+    const EffectiveValue& value = one.mValue;
+    const std::string shown = Shown(value.mRow, value.mText);
+    text += "[" + Describe(one.mSection) + "] " + value.mRow.mName + " = " +
+            (shown.empty() ? "(none)" : shown) + "\n";
+    if (value.mChain.empty()) {
+      text += "    the default; stated nowhere\n";
+    }
+    for (std::size_t at = 0; at < value.mChain.size(); ++at) {
+      text += (at == 0 ? "    set at    " : "    overrides ") +
+              StatementText(value.mRow, value.mChain[at]) + "\n";
+    }
+  }
+  return text;
+}
+
+std::string ExplainJson(const std::vector<Explained>& aExplained)
+{
+  Json settings = Json::array();
+  for (const Explained& one : aExplained) {
+    const SettingRow& row = one.mValue.mRow;
+    settings.push_back({ { "section", Describe(one.mSection) },
+                         { "key", row.mName },
+                         { "value", Shown(row, one.mValue.mText) },
+                         { "default", row.mDefault },
+                         { "meaning", row.mText },
+                         { "takes_effect", TypeText(row) },
+                         { "is_default", one.mValue.mChain.empty() },
+                         { "chain", OriginsJson(one) } });
+  }
+  return Rendered({ { "settings", settings } });
+}
+
+std::string DifferenceText(const SettingsDifference& aDifference)
+{
+  if (aDifference.mChanges.empty()) {
+    return "no value differs\n";
+  }
+  std::string text;
+  for (const ValueChange& change : aDifference.mChanges) {
+    text += "[" + Describe(change.mSection) + "] " + change.mKey + ": " +
+            change.mBefore + " -> " + change.mAfter + "\n";
+  }
+  for (const std::string& meaning : aDifference.mMeanings) {
+    text += "  means: " + meaning + "\n";
+  }
+  return text;
+}
+
+std::string DifferenceJson(const SettingsDifference& aDifference)
+{
+  Json changes = Json::array();
+  for (const ValueChange& change : aDifference.mChanges) {
+    changes.push_back({ { "section", Describe(change.mSection) },
+                        { "key", change.mKey },
+                        { "before", change.mBefore },
+                        { "after", change.mAfter } });
+  }
+  return Rendered(
+    { { "changes", changes }, { "means", aDifference.mMeanings } });
+}
+
+std::string TimeText(UnixMilliseconds aTime)
+{
+  const std::time_t seconds = aTime.count() / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> text{};
+  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text.data();
+}
+
+std::string HistoryText(const std::vector<SettingsRoot>& aRoots)
+{
+  std::string text;
+  for (const SettingsRoot& root : aRoots) {
+    text += std::to_string(root.mGeneration) + "  " + TimeText(root.mTime) +
+            "  " + root.mDigest.substr(0, kDigestShown) + "  " + root.mAuthor +
+            ": " + root.mReason + "\n";
+  }
+  return text;
+}
+
+std::string HistoryJson(const std::vector<SettingsRoot>& aRoots)
+{
+  Json history = Json::array();
+  for (const SettingsRoot& root : aRoots) {
+    history.push_back({ { "generation", root.mGeneration },
+                        { "time", TimeText(root.mTime) },
+                        { "author", root.mAuthor },
+                        { "reason", root.mReason },
+                        { "digest", root.mDigest },
+                        { "previous_chain", root.mPreviousChain },
+                        { "chain", root.mChain } });
+  }
+  return Rendered({ { "history", history } });
+}
+
+std::string FilesText(const std::vector<SettingsFile>& aFiles)
+{
+  const SettingsTree tree = ReadSettingsTree(aFiles).mTree;
+  std::string text;
+  for (const SettingsFile& file : aFiles) {
+    text += "; ---- " + file.mName + "\n" + WithoutSecrets(tree, file);
+  }
+  return text;
+}
+
+std::string FilesJson(const std::vector<SettingsFile>& aFiles)
+{
+  const SettingsTree tree = ReadSettingsTree(aFiles).mTree;
+  Json files = Json::array();
+  for (const SettingsFile& file : aFiles) {
+    files.push_back(
+      { { "name", file.mName }, { "text", WithoutSecrets(tree, file) } });
+  }
+  return Rendered({ { "files", files } });
+}
+
+} // namespace Acaciavale
--- a/Libraries/LibSettings/Values.cpp
+++ b/Libraries/LibSettings/Values.cpp
@@ -116,7 +116,9 @@
   }
 }
 
-std::string Plain(double aNumber)
+} // namespace
+
+std::string PlainNumber(double aNumber)
 {
   std::string text = std::to_string(aNumber);
   text.erase(text.find_last_not_of('0') + 1);
@@ -126,8 +128,6 @@
   return text;
 }
 
-} // namespace
-
 std::optional<double> ParseNumber(const std::string& aText)
 {
   const auto value = ParseWhole<double>(aText);
@@ -308,7 +308,8 @@
   if (magnitude && bounded &&
       (*magnitude < aRow.mLeast || *magnitude > aRow.mMost)) {
     return "\"" + aText + "\" is out of range for " + aRow.mName +
-           "; allowed is " + Plain(aRow.mLeast) + " to " + Plain(aRow.mMost) +
+           "; allowed is " + PlainNumber(aRow.mLeast) + " to " +
+           PlainNumber(aRow.mMost) +
            (aRow.mType == SettingType::Duration ? " seconds" : "");
   }
   return std::nullopt;
--- a/Libraries/LibSettings/Values.h
+++ b/Libraries/LibSettings/Values.h
@@ -12,6 +12,9 @@
 /// Values with units, from text.
 namespace Acaciavale {
 
+/// A number without needless digits.
+std::string PlainNumber(double aNumber);
+
 std::optional<double> ParseNumber(const std::string& aText);
 std::optional<std::int64_t> ParseInteger(const std::string& aText);
 /// An integer followed by exactly this unit.
--- /dev/null
+++ b/include/Acaciavale/LibSettings/SettingsEdit.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Error.h>
+#include <Acaciavale/LibSettings/SettingsReader.h>
+#include <Acaciavale/LibSettings/SettingsTree.h>
+
+#include <string>
+#include <vector>
+
+/// Edits of the operators' files that leave all other lines as they are.
+namespace Acaciavale {
+
+/// States a value in a section. A section that is not there is added at the
+/// end of the first file. Invalid where the section takes no such key.
+ErrorOr<std::vector<SettingsFile>> WithValue(std::vector<SettingsFile> aFiles,
+                                             const SectionName& aSection,
+                                             const std::string& aKey,
+                                             const std::string& aValue);
+
+/// How a version is taken out of service.
+struct WithdrawalRequest
+{
+  std::string mModel;
+  std::string mVersion;
+  VersionState mState = VersionState::Withdrawn;
+  bool mMayLeaveEmpty = false; ///< Accounts may be left with no version.
+
+  auto operator<=>(const WithdrawalRequest&) const = default;
+};
+
+/// Sets the version's state, takes it out of cascades that have other stages,
+/// and pauses roll-outs that lead to it. NotFound where there is no such
+/// version.
+ErrorOr<std::vector<SettingsFile>> WithVersionTakenOut(
+  const std::vector<SettingsFile>& aFiles,
+  const WithdrawalRequest& aRequest);
+
+} // namespace Acaciavale
