--- /dev/null
+++ b/Programs/acaciavale/SettingsCommand.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Command.h"
+
+#include <string>
+#include <vector>
+
+namespace Acaciavale {
+
+/// `acaciavale settings …`.
+Command SettingsCommand();
+
+// The subcommands, each in the file of its name.
+int SettingsCheck(const std::vector<std::string>& aArguments);
+int SettingsExplain(const std::vector<std::string>& aArguments);
+int SettingsShow(const std::vector<std::string>& aArguments);
+int SettingsDiff(const std::vector<std::string>& aArguments);
+int SettingsApply(const std::vector<std::string>& aArguments);
+int SettingsHistory(const std::vector<std::string>& aArguments);
+int SettingsStatus(const std::vector<std::string>& aArguments);
+int SettingsVerify(const std::vector<std::string>& aArguments);
+int SettingsHashKey(const std::vector<std::string>& aArguments);
+int SettingsReference(const std::vector<std::string>& aArguments);
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Programs/acaciavale/SettingsDiff.cpp
@@ -0,0 +1,61 @@
+#include "CommandOptions.h"
+#include "SettingsCommand.h"
+#include "SettingsSource.h"
+
+#include <Acaciavale/LibSettings/SettingsDifference.h>
+#include <Acaciavale/LibSettings/SettingsReport.h>
+#include <Acaciavale/LibSettings/SettingsStore.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace Acaciavale {
+
+namespace {
+
+/// What the files are compared with: the generation asked for or in force.
+ErrorOr<StoredSettings> FetchBefore(const ParsedOptions& aOptions)
+{
+  const auto client = MakeCommandClient(aOptions.Value("store"));
+  const std::string generation = aOptions.Value("generation");
+  if (!generation.empty()) {
+    return FetchGeneration(client->Store(), std::atoll(generation.c_str()));
+  }
+  auto latest = FetchLatest(client->Store());
+  if (!latest && latest.error().mCode == ErrorCode::NotFound) {
+    return StoredSettings{};
+  }
+  return latest;
+}
+
+} // namespace
+
+int SettingsDiff(const std::vector<std::string>& aArguments)
+{
+  const std::vector<OptionSpec> specs{ StoreOption(),
+                                       GenerationOption(),
+                                       OutputOption() };
+  const auto options = ParseOptions("settings diff", aArguments, specs);
+  if (!options || options->mOperands.empty() || !options->Has("store")) {
+    return ReportUsage("settings diff FILE… --store IP:PORT [OPTION…]", specs);
+  }
+  const auto json = WantsJson(*options);
+  if (!json) {
+    return kExitUsage;
+  }
+  const auto files = LoadCheckedFiles(options->mOperands);
+  if (!files) {
+    return kExitFindings;
+  }
+  const auto before = FetchBefore(*options);
+  if (!before) {
+    return ReportError("settings diff", before.error());
+  }
+  const auto difference = Difference(before->mFiles, *files);
+  std::fputs(
+    (*json ? DifferenceJson(difference) : DifferenceText(difference)).c_str(),
+    stdout);
+  return kExitDone;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Programs/acaciavale/SettingsHistory.cpp
@@ -0,0 +1,57 @@
+#include "CommandOptions.h"
+#include "SettingsCommand.h"
+#include "SettingsSource.h"
+
+#include <Acaciavale/LibSettings/SettingsReport.h>
+#include <Acaciavale/LibSettings/SettingsStore.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr std::int64_t kGenerationsShown = 20;
+
+ErrorOr<std::vector<SettingsRoot>> FetchLast(const KeyValueStore& aStore,
+                                             std::int64_t aCount)
+{
+  const SettingsRoot latest = ACACIAVALE_TRY(FetchRoot(aStore));
+  const std::int64_t from =
+    aCount == 0 ? 1
+                : std::max<std::int64_t>(1, latest.mGeneration - aCount + 1);
+  return FetchHistory(aStore, from);
+}
+
+} // namespace
+
+int SettingsHistory(const std::vector<std::string>& aArguments)
+{
+  const std::vector<OptionSpec> specs{
+    StoreOption(),
+    { "last", "N", "How many generations; 0 is all, 20 where not stated." },
+    OutputOption()
+  };
+  const auto options = ParseOptions("settings history", aArguments, specs);
+  if (!options || !options->Has("store") || !options->mOperands.empty()) {
+    return ReportUsage("settings history --store IP:PORT [OPTION…]", specs);
+  }
+  const auto json = WantsJson(*options);
+  if (!json) {
+    return kExitUsage;
+  }
+  const std::int64_t count = std::atoll(
+    options->Value("last", std::to_string(kGenerationsShown)).c_str());
+  const auto client = MakeCommandClient(options->Value("store"));
+  const auto roots = FetchLast(client->Store(), count);
+  if (!roots) {
+    return ReportError("settings history", roots.error());
+  }
+  std::fputs((*json ? HistoryJson(*roots) : HistoryText(*roots)).c_str(),
+             stdout);
+  return kExitDone;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Programs/acaciavale/SettingsVerify.cpp
@@ -0,0 +1,91 @@
+#include "CommandOptions.h"
+#include "SettingsCommand.h"
+#include "SettingsSource.h"
+
+#include <Acaciavale/LibSettings/SettingsStore.h>
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace Acaciavale {
+
+namespace {
+
+/// Fetches every body too, so that its digest is checked.
+std::vector<std::string> CheckBodies(const KeyValueStore& aStore,
+                                     const std::vector<SettingsRoot>& aHistory)
+{
+  std::vector<std::string> problems;
+  for (const SettingsRoot& root : aHistory) {
+    const auto body = FetchBody(aStore, root);
+    if (!body) {
+      problems.push_back("generation " + std::to_string(root.mGeneration) +
+                         ": " + body.error().mMessage);
+    }
+  }
+  return problems;
+}
+
+void Print(const std::vector<std::string>& aProblems,
+           std::size_t aCount,
+           const std::string& aChain,
+           bool aJson)
+{
+  if (aJson) {
+    const nlohmann::json json{ { "generations", aCount },
+                               { "chain", aChain },
+                               { "problems", aProblems } };
+    std::printf("%s\n", json.dump(2).c_str());
+    return;
+  }
+  for (const std::string& problem : aProblems) {
+    std::printf("%s\n", problem.c_str());
+  }
+  std::printf("%zu generations, %zu problems, chain %s\n",
+              aCount,
+              aProblems.size(),
+              aChain.c_str());
+}
+
+} // namespace
+
+int SettingsVerify(const std::vector<std::string>& aArguments)
+{
+  const std::vector<OptionSpec> specs{
+    StoreOption(),
+    { "bodies", "", "Check the digest of every body too; a read each." },
+    { "chain", "DIGEST", "The chain digest that was noted down elsewhere." },
+    OutputOption()
+  };
+  const auto options = ParseOptions("settings verify", aArguments, specs);
+  if (!options || !options->Has("store") || !options->mOperands.empty()) {
+    return ReportUsage("settings verify --store IP:PORT [OPTION…]", specs);
+  }
+  const auto json = WantsJson(*options);
+  if (!json) {
+    return kExitUsage;
+  }
+  const auto client = MakeCommandClient(options->Value("store"));
+  const auto history = FetchHistory(client->Store());
+  if (!history) {
+    return ReportError("settings verify", history.error());
+  }
+  std::vector<std::string> problems = Verify(*history);
+  if (options->Has("bodies")) {
+    const auto more = CheckBodies(client->Store(), *history);
+    problems.insert(problems.end(), more.begin(), more.end());
+  }
+  const std::string noted = options->Value("chain");
+  const bool isKnown =
+    noted.empty() ||
+    std::any_of(history->begin(), history->end(), [&](const auto& aRoot) {
+      return aRoot.mChain == noted;
+    });
+  if (!isKnown) {
+    problems.push_back("no generation carries the chain digest " + noted);
+  }
+  Print(problems, history->size(), history->back().mChain, *json);
+  return problems.empty() ? kExitDone : kExitFindings;
+}
+
+} // namespace Acaciavale
