Add the settings, version and rollout commands

Cause: operators drive the product by editing the tree and must see what a change means before and after it. Change: settings check, explain, show, diff, apply, export, history, status, verify, hash-key and reference; version withdraw, retire and serve; rollout start, pause, resume and status. Edits keep all other lines. apply requires the generation that the files were edited from; a racing operator is shown what came between. docs/SETTINGS.md is the rendering of the table, compared by a test.

--- a/Libraries/LibSettings/CrossChecks.cpp
+++ b/Libraries/LibSettings/CrossChecks.cpp
@@ -235,7 +235,8 @@
       Report(aChecking,
              place,
              "account " + aAccount.mName + " may name model " + name +
-               " but has no permitted version of it that serves");
+               " but has no permitted version of it that serves; allowed is "
+               "that where the model states may-be-empty = yes");
     }
   }
 }
--- a/Libraries/LibSettings/SettingsDifference.cpp
+++ b/Libraries/LibSettings/SettingsDifference.cpp
@@ -222,6 +222,16 @@
   return names;
 }
 
+std::string StagesText(const CascadeSettings& aCascade)
+{
+  std::string text;
+  for (const CascadeStage& stage : aCascade.mStages) {
+    text += (text.empty() ? "" : ", ") + stage.mModel +
+            (stage.mVersion.empty() ? "" : "/" + stage.mVersion);
+  }
+  return text.empty() ? "nothing" : text;
+}
+
 void AddServicesAndCascades(Sides& aSides)
 {
   for (const auto& name :
@@ -245,9 +255,8 @@
         after != aSides.mAfter.mCascades.end() &&
         before->second.mStages != after->second.mStages) {
       aSides.mMeanings.push_back("cascade " + name + " runs " +
-                                 std::to_string(after->second.mStages.size()) +
-                                 " stages, before " +
-                                 std::to_string(before->second.mStages.size()));
+                                 StagesText(after->second) + "; before " +
+                                 StagesText(before->second));
     }
   }
 }
--- a/Libraries/LibSettings/SettingsEdit.cpp
+++ b/Libraries/LibSettings/SettingsEdit.cpp
@@ -179,7 +179,9 @@
     SettingType::VersionState)[static_cast<std::size_t>(aRequest.mState)];
   auto files = ACACIAVALE_TRY(
     WithValue(aFiles, { SectionKind::Version, path }, "state", state));
-  files = ACACIAVALE_TRY(WithRolloutsPaused(files, settings, aRequest));
+  if (aRequest.mState != VersionState::Serving) {
+    files = ACACIAVALE_TRY(WithRolloutsPaused(files, settings, aRequest));
+  }
   if (aRequest.mState == VersionState::Withdrawn) {
     files = ACACIAVALE_TRY(
       WithoutStage(files, settings, { aRequest.mModel, aRequest.mVersion }));
--- a/Libraries/LibSettings/SettingsReport.cpp
+++ b/Libraries/LibSettings/SettingsReport.cpp
@@ -195,7 +195,8 @@
   return text;
 }
 
-std::string DifferenceJson(const SettingsDifference& aDifference)
+std::string DifferenceJson(const SettingsDifference& aDifference,
+                           std::int64_t aGeneration)
 {
   Json changes = Json::array();
   for (const ValueChange& change : aDifference.mChanges) {
@@ -204,8 +205,9 @@
                         { "before", change.mBefore },
                         { "after", change.mAfter } });
   }
-  return Rendered(
-    { { "changes", changes }, { "means", aDifference.mMeanings } });
+  return Rendered({ { "generation", aGeneration },
+                    { "changes", changes },
+                    { "means", aDifference.mMeanings } });
 }
 
 std::string TimeText(UnixMilliseconds aTime)
--- a/Programs/acaciavale/CommandOptions.cpp
+++ b/Programs/acaciavale/CommandOptions.cpp
@@ -60,11 +60,8 @@
     words.push_back(argument.c_str());
   }
   const auto table = PoptTable(aSpecs);
-  poptContext context = poptGetContext(nullptr,
-                                       static_cast<int>(words.size()),
-                                       words.data(),
-                                       table.data(),
-                                       0);
+  poptContext context = poptGetContext(
+    nullptr, static_cast<int>(words.size()), words.data(), table.data(), 0);
   ParsedOptions options;
   int code = 0;
   while ((code = poptGetNextOpt(context)) > 0) {
--- /dev/null
+++ b/Programs/acaciavale/RolloutRecords.cpp
@@ -0,0 +1,140 @@
+#include "RolloutRecords.h"
+
+#include <Acaciavale/LibCore/Random.h>
+#include <Acaciavale/LibSettings/SettingsReader.h>
+#include <Acaciavale/LibSettings/SettingsStore.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Acaciavale {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string RolloutKey(const std::string& aName)
+{
+  return "rollouts/" + aName;
+}
+
+RolloutState StateOf(const RolloutSettings& aRollout)
+{
+  RolloutState state;
+  state.mName = aRollout.mName;
+  state.mModel = aRollout.mModel;
+  state.mFrom = aRollout.mFrom;
+  state.mTo = aRollout.mTo;
+  state.mPaused = aRollout.mPaused;
+  state.mSteps = aRollout.mSteps.size();
+  return state;
+}
+
+void AddProgress(const KeyValueEntry& aEntry,
+                 const RolloutSettings& aRollout,
+                 RolloutState& aState)
+{
+  try {
+    const Json record = Json::parse(aEntry.mValue);
+    aState.mPhase = record.at("phase").get<std::string>();
+    aState.mStep = record.at("step").get<std::size_t>();
+    aState.mHolder = record.value("holder", "");
+    aState.mReason = record.value("reason", "");
+  } catch (const Json::exception&) {
+    aState.mReason = "the progress record cannot be read";
+  }
+  if (aState.mStep < aRollout.mSteps.size()) {
+    aState.mShare = aRollout.mSteps[aState.mStep];
+  }
+}
+
+std::string LineOf(const RolloutState& aState)
+{
+  const std::string phase =
+    aState.mPhase.empty() ? "not taken up yet" : aState.mPhase;
+  return aState.mName + "  " + aState.mModel + " " + aState.mFrom + " -> " +
+         aState.mTo + "  " + phase +
+         (aState.mPaused ? " (paused in the settings)" : "") + "  step " +
+         std::to_string(aState.mStep + 1) + " of " +
+         std::to_string(aState.mSteps) +
+         (aState.mReason.empty() ? "" : "  " + aState.mReason) + "\n";
+}
+
+} // namespace
+
+ErrorOr<std::vector<RolloutState>> FetchRolloutStates(
+  const KeyValueStore& aStore)
+{
+  const auto stored = ACACIAVALE_TRY(FetchLatest(aStore));
+  const SettingsReading reading = ReadSettings(stored.mFiles);
+  if (!reading.mSettings) {
+    return MakeError(ErrorCode::Invalid,
+                     "The settings in force have findings.");
+  }
+  std::vector<RolloutState> states;
+  for (const auto& [name, rollout] : reading.mSettings->mRollouts) {
+    states.push_back(StateOf(rollout));
+    const auto entry = ACACIAVALE_TRY(aStore.mRead(RolloutKey(name)));
+    if (entry) {
+      AddProgress(*entry, rollout, states.back());
+    }
+  }
+  return states;
+}
+
+ErrorOr<void> LiftHalt(const KeyValueStore& aStore,
+                       const std::string& aName,
+                       const std::string& aReason)
+{
+  const auto entry = ACACIAVALE_TRY(aStore.mRead(RolloutKey(aName)));
+  Json record = entry ? Json::parse(entry->mValue, nullptr, false) : Json();
+  // NOTE: A comparison with another type than text is simply false.
+  if (!record.is_object() || !record.contains("phase") ||
+      record["phase"] != "halted") {
+    return {};
+  }
+  Random random(EntropySeed());
+  record["phase"] = "running";
+  record["reason"] = "resumed by " + aReason;
+  record["nonce"] = RandomToken(random);
+  const auto written = WriteResolved(
+    aStore, { RolloutKey(aName), record.dump(), entry->mRevision, 0 });
+  if (!written) {
+    return tl::make_unexpected(written.error());
+  }
+  return {};
+}
+
+std::string RolloutsText(const std::vector<RolloutState>& aStates,
+                         const std::string& aName)
+{
+  std::string text;
+  for (const RolloutState& state : aStates) {
+    text += aName.empty() || state.mName == aName ? LineOf(state) : "";
+  }
+  return text.empty() ? "no such roll-out in the settings in force\n" : text;
+}
+
+std::string RolloutsJson(const std::vector<RolloutState>& aStates,
+                         const std::string& aName)
+{
+  Json rollouts = Json::array();
+  for (const RolloutState& state : aStates) {
+    if (aName.empty() || state.mName == aName) {
+      rollouts.push_back({ { "name", state.mName },
+                           { "model", state.mModel },
+                           { "from", state.mFrom },
+                           { "to", state.mTo },
+                           { "paused", state.mPaused },
+                           { "phase", state.mPhase },
+                           { "step", state.mStep },
+                           { "steps", state.mSteps },
+                           { "share", state.mShare },
+                           { "holder", state.mHolder },
+                           { "reason", state.mReason } });
+    }
+  }
+  return Json{ { "rollouts", rollouts } }.dump(2) + "\n";
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Programs/acaciavale/SettingsApply.cpp
@@ -0,0 +1,93 @@
+#include "CommandOptions.h"
+#include "SettingsChange.h"
+#include "SettingsCommand.h"
+#include "SettingsSource.h"
+
+#include <charconv>
+#include <cstdio>
+#include <filesystem>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr const char* kUsage =
+  "settings apply FILE… --store IP:PORT --seen N --author NAME\n"
+  "       --reason TEXT [OPTION…]";
+
+/// Names files relative to the folder of the first, so that it does not matter
+/// from where an operator applies them.
+std::vector<SettingsFile> WithRelativeNames(std::vector<SettingsFile> aFiles)
+{
+  namespace fs = std::filesystem;
+  const fs::path folder = fs::path(aFiles.front().mName).parent_path();
+  std::vector<SettingsFile> files = aFiles;
+  for (SettingsFile& file : files) {
+    const fs::path name = folder.empty()
+                            ? fs::path(file.mName)
+                            : fs::path(file.mName).lexically_relative(folder);
+    if (name.empty() || *name.begin() == "..") {
+      return aFiles;
+    }
+    file.mName = name.string();
+  }
+  return files;
+}
+
+std::optional<std::int64_t> ParseSeen(const ParsedOptions& aOptions)
+{
+  const std::string text = aOptions.Value("seen");
+  std::int64_t seen = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, seen);
+  const bool isWhole = !text.empty() && result.ptr == end && seen >= 0;
+  return isWhole && result.ec == std::errc() ? std::optional(seen)
+                                             : std::nullopt;
+}
+
+/// The generation that the files were edited from; empty for 0.
+ErrorOr<StoredSettings> FetchSeen(const KeyValueStore& aStore,
+                                  std::int64_t aSeen)
+{
+  return aSeen == 0 ? ErrorOr<StoredSettings>(StoredSettings{})
+                    : FetchGeneration(aStore, aSeen);
+}
+
+} // namespace
+
+int SettingsApply(const std::vector<std::string>& aArguments)
+{
+  std::vector<OptionSpec> specs = EditOptions();
+  specs.push_back({ "seen",
+                    "N",
+                    "The generation that the files were edited from; `diff` "
+                    "names it, 0 is none yet." });
+  const auto options = ParseOptions("settings apply", aArguments, specs);
+  const auto seen = options ? ParseSeen(*options) : std::nullopt;
+  if (!seen || options->mOperands.empty() || !options->Has("store")) {
+    return ReportUsage(kUsage, specs);
+  }
+  const auto json = WantsJson(*options);
+  if (!json) {
+    return kExitUsage;
+  }
+  const auto files = LoadCheckedFiles(options->mOperands);
+  if (!files) {
+    return kExitFindings;
+  }
+  const auto client = MakeCommandClient(options->Value("store"));
+  const auto before = FetchSeen(client->Store(), *seen);
+  if (!before) {
+    return ReportError("settings apply", before.error());
+  }
+  return CarryOut(client->Store(),
+                  { "settings apply",
+                    *before,
+                    WithRelativeNames(*files),
+                    options->Value("author"),
+                    options->Value("reason"),
+                    *json,
+                    options->Has("dry-run") });
+}
+
+} // namespace Acaciavale
--- a/Programs/acaciavale/SettingsCommand.cpp
+++ b/Programs/acaciavale/SettingsCommand.cpp
@@ -14,13 +14,14 @@
   "  show --store IP:PORT      prints the files in force, secrets hidden\n"
   "  diff FILE… --store …      tells what applying the files would change\n"
   "  apply FILE… --store …     puts the files in force\n"
+  "  export DIRECTORY --store … writes the files in force, secrets included\n"
   "  history --store IP:PORT   lists the generations\n"
   "  status --store IP:PORT    tells which generation each VM has\n"
   "  verify --store IP:PORT    checks that no generation was altered\n"
   "  hash-key                  hashes a caller's key from standard input\n"
   "  reference                 prints docs/SETTINGS.md\n"
   "\n"
-  "Each tells its options when it is given --usage.\n";
+  "Each tells its options when it is called without any.\n";
 
 struct Subcommand
 {
@@ -29,11 +30,12 @@
 };
 
 constexpr Subcommand kSubcommands[] = {
-  { "check", SettingsCheck },     { "explain", SettingsExplain },
-  { "show", SettingsShow },       { "diff", SettingsDiff },
-  { "apply", SettingsApply },     { "history", SettingsHistory },
-  { "status", SettingsStatus },   { "verify", SettingsVerify },
+  { "check", SettingsCheck },      { "explain", SettingsExplain },
+  { "show", SettingsShow },        { "diff", SettingsDiff },
+  { "apply", SettingsApply },      { "history", SettingsHistory },
+  { "status", SettingsStatus },    { "verify", SettingsVerify },
   { "hash-key", SettingsHashKey }, { "reference", SettingsReference },
+  { "export", SettingsExport },
 };
 
 int Run(const std::vector<std::string>& aArguments)
@@ -52,7 +54,9 @@
 
 Command SettingsCommand()
 {
-  return { "settings", "Check, explain, compare and apply settings.", kHelp, Run };
+  return {
+    "settings", "Check, explain, compare and apply settings.", kHelp, Run
+  };
 }
 
 } // namespace Acaciavale
--- a/Programs/acaciavale/SettingsCommand.h
+++ b/Programs/acaciavale/SettingsCommand.h
@@ -16,6 +16,7 @@
 int SettingsShow(const std::vector<std::string>& aArguments);
 int SettingsDiff(const std::vector<std::string>& aArguments);
 int SettingsApply(const std::vector<std::string>& aArguments);
+int SettingsExport(const std::vector<std::string>& aArguments);
 int SettingsHistory(const std::vector<std::string>& aArguments);
 int SettingsStatus(const std::vector<std::string>& aArguments);
 int SettingsVerify(const std::vector<std::string>& aArguments);
--- a/Programs/acaciavale/SettingsDiff.cpp
+++ b/Programs/acaciavale/SettingsDiff.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <memory>
 
 namespace Acaciavale {
 
@@ -52,9 +53,15 @@
     return ReportError("settings diff", before.error());
   }
   const auto difference = Difference(before->mFiles, *files);
-  std::fputs(
-    (*json ? DifferenceJson(difference) : DifferenceText(difference)).c_str(),
-    stdout);
+  const std::int64_t generation = before->mRoot.mGeneration;
+  std::fputs((*json ? DifferenceJson(difference, generation)
+                    : DifferenceText(difference))
+               .c_str(),
+             stdout);
+  if (!*json) {
+    std::printf("compared with generation %lld\n",
+                static_cast<long long>(generation));
+  }
   return kExitDone;
 }
 
--- a/Programs/acaciavale/SettingsExplain.cpp
+++ b/Programs/acaciavale/SettingsExplain.cpp
@@ -30,8 +30,8 @@
   for (const std::string& operand : aOperands) {
     const std::size_t mark = operand.find('=');
     const std::string what = operand.substr(0, mark);
-    const bool isSelector = mark != std::string::npos &&
-                            (what == "key" || SectionKindNamed(what));
+    const bool isSelector =
+      mark != std::string::npos && (what == "key" || SectionKindNamed(what));
     if (isSelector) {
       operands.mSelectors[what] = operand.substr(mark + 1);
     } else {
--- a/Programs/acaciavale/SettingsSource.cpp
+++ b/Programs/acaciavale/SettingsSource.cpp
@@ -51,10 +51,8 @@
 
 int ReportError(const std::string& aCommand, const Error& aError)
 {
-  std::fprintf(stderr,
-               "acaciavale %s: %s\n",
-               aCommand.c_str(),
-               aError.mMessage.c_str());
+  std::fprintf(
+    stderr, "acaciavale %s: %s\n", aCommand.c_str(), aError.mMessage.c_str());
   return ExitCodeOf(aError.mCode);
 }
 
--- a/Programs/acaciavale/SettingsSource.h
+++ b/Programs/acaciavale/SettingsSource.h
@@ -6,6 +6,7 @@
 #include <Acaciavale/LibPlatform/HttpKeyValueClient.h>
 #include <Acaciavale/LibSettings/SettingsRecord.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
--- /dev/null
+++ b/Programs/acaciavale/SettingsStatus.cpp
@@ -0,0 +1,76 @@
+#include "CommandOptions.h"
+#include "SettingsCommand.h"
+#include "SettingsSource.h"
+
+#include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibSettings/FleetStatus.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <thread>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr Duration kPollPeriod = std::chrono::milliseconds(500);
+
+void ShowProgress(const FleetStatus& aStatus)
+{
+  const auto behind = Behind(aStatus);
+  std::fprintf(stderr,
+               "%zu of %zu VMs have generation %lld\n",
+               aStatus.mVms.size() - behind.size(),
+               aStatus.mVms.size(),
+               static_cast<long long>(aStatus.mGeneration));
+}
+
+/// Whether there is a VM, and none is behind.
+bool IsEverywhere(const FleetStatus& aStatus)
+{
+  return !aStatus.mVms.empty() && Behind(aStatus).empty();
+}
+
+/// Asks until all VMs have the generation or the time is over.
+ErrorOr<FleetStatus> WaitForAll(const KeyValueStore& aStore, Duration aWait)
+{
+  const TimePoint end = MonotonicNow() + aWait;
+  auto status = FetchFleetStatus(aStore);
+  while (status && !IsEverywhere(*status) && MonotonicNow() < end) {
+    ShowProgress(*status);
+    std::this_thread::sleep_for(kPollPeriod);
+    status = FetchFleetStatus(aStore);
+  }
+  return status;
+}
+
+} // namespace
+
+int SettingsStatus(const std::vector<std::string>& aArguments)
+{
+  const std::vector<OptionSpec> specs{
+    StoreOption(),
+    { "wait", "SECONDS", "Wait this long for all VMs; 0 where not stated." },
+    OutputOption()
+  };
+  const auto options = ParseOptions("settings status", aArguments, specs);
+  if (!options || !options->Has("store") || !options->mOperands.empty()) {
+    return ReportUsage("settings status --store IP:PORT [OPTION…]", specs);
+  }
+  const auto json = WantsJson(*options);
+  if (!json) {
+    return kExitUsage;
+  }
+  const auto client = MakeCommandClient(options->Value("store"));
+  const auto wait =
+    std::chrono::seconds(std::atoll(options->Value("wait", "0").c_str()));
+  const auto status = WaitForAll(client->Store(), wait);
+  if (!status) {
+    return ReportError("settings status", status.error());
+  }
+  std::fputs((*json ? StatusJson(*status) : StatusText(*status)).c_str(),
+             stdout);
+  return IsEverywhere(*status) ? kExitDone : kExitFindings;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Programs/acaciavale/VersionCommand.cpp
@@ -0,0 +1,74 @@
+#include "VersionCommand.h"
+#include "CommandOptions.h"
+#include "SettingsChange.h"
+#include "SettingsSource.h"
+
+#include <Acaciavale/LibSettings/SettingsEdit.h>
+
+#include <cstdio>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr const char* kHelp =
+  "usage: acaciavale version SUBCOMMAND MODEL/VERSION --store IP:PORT\n"
+  "       --author NAME --reason TEXT [OPTION…]\n"
+  "\n"
+  "  withdraw   the version takes no work at all any more; it leaves the\n"
+  "             cascades that have other stages, and roll-outs to it pause\n"
+  "  retire     it takes no new sessions and keeps those that it has\n"
+  "  serve      it takes new sessions again\n"
+  "\n"
+  "  --may-leave-empty  even where accounts are left with no version of the\n"
+  "                     model; their requests are refused then\n"
+  "  --dry-run          shows what would change and changes nothing\n"
+  "  --output text|json\n";
+
+std::optional<VersionState> StateAfter(const std::string& aSubcommand)
+{
+  if (aSubcommand == "withdraw") {
+    return VersionState::Withdrawn;
+  }
+  if (aSubcommand == "retire") {
+    return VersionState::Retiring;
+  }
+  if (aSubcommand == "serve") {
+    return VersionState::Serving;
+  }
+  return std::nullopt;
+}
+
+int Run(const std::vector<std::string>& aArguments)
+{
+  std::vector<OptionSpec> specs = EditOptions();
+  specs.push_back({ "may-leave-empty", "", "" });
+  const auto options = ParseOptions("version", aArguments, specs);
+  const bool isWhole = options && options->mOperands.size() == 2 &&
+                       options->Has("store") && options->Has("author") &&
+                       options->Has("reason");
+  const auto state = isWhole ? StateAfter(options->mOperands[0]) : std::nullopt;
+  const std::size_t slash =
+    isWhole ? options->mOperands[1].find('/') : std::string::npos;
+  if (!state || slash == std::string::npos) {
+    std::fputs(kHelp, stderr);
+    return kExitUsage;
+  }
+  const WithdrawalRequest request{ options->mOperands[1].substr(0, slash),
+                                   options->mOperands[1].substr(slash + 1),
+                                   *state,
+                                   options->Has("may-leave-empty") };
+  return EditInForce(
+    "version " + options->mOperands[0], *options, [&](const auto& aFiles) {
+      return WithVersionTakenOut(aFiles, request);
+    });
+}
+
+} // namespace
+
+Command VersionCommand()
+{
+  return { "version", "Withdraw, retire or serve a version.", kHelp, Run };
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Programs/acaciavale/VersionCommand.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Command.h"
+
+namespace Acaciavale {
+
+/// `acaciavale version withdraw|retire|serve`.
+Command VersionCommand();
+
+} // namespace Acaciavale
--- a/Tests/LibSettings/TestStore.cpp
+++ b/Tests/LibSettings/TestStore.cpp
@@ -1,5 +1,6 @@
 #include "ExampleSettings.h"
 
+#include <Acaciavale/LibSettings/FleetStatus.h>
 #include <Acaciavale/LibSettings/SettingsHolder.h>
 #include <Acaciavale/LibSettings/SettingsStore.h>
 
@@ -185,3 +186,18 @@
         ErrorCode::Invalid);
   LONGS_EQUAL(3, holder.Generation());
 }
+
+TEST(Store, TheStatusNamesTheVmsThatAreBehind)
+{
+  CHECK(Apply(mStore, Request(0, "first")).has_value());
+  for (const auto& [name, record] :
+       { std::pair{ "vms/a", R"({"settings_generation": 1})" },
+         std::pair{ "vms/b", R"({"settings_generation": 0})" },
+         std::pair{ "vms/c", "not JSON" } }) {
+    CHECK(mStore.mCompareAndSwap({ name, record, 0, 0 }).has_value());
+  }
+  const auto status = FetchFleetStatus(mStore).value();
+  CHECK(Behind(status) == (std::vector<std::string>{ "b", "c" }));
+  STRCMP_CONTAINS("1 of 3 VMs have generation 1", StatusText(status).c_str());
+  STRCMP_CONTAINS("\"behind\"", StatusJson(status).c_str());
+}
--- a/Tests/LibSettings/TestTree.cpp
+++ b/Tests/LibSettings/TestTree.cpp
@@ -81,7 +81,9 @@
 
 TEST(Tree, AnEditLeavesAllOtherLinesAsTheyAre)
 {
-  auto files = Files(ExampleText() + "burst = 50 ; for now\r\n; the end");
+  auto files =
+    Files(ExampleText() +
+          "requests-per-second = 40/s\nburst = 50 ; for now\r\n; the end");
   auto edited = WithValue(files, kOne, "burst", "60").value();
   STRCMP_EQUAL("burst = 60 ; for now\r",
                Line(edited[0].mText, "burst = 60").c_str());
@@ -111,7 +113,7 @@
   const std::string meanings = MeaningsOf(files, edited);
   STRCMP_CONTAINS("version m/b takes no work any more", meanings.c_str());
   STRCMP_CONTAINS("1 account loses version m/b: one", meanings.c_str());
-  STRCMP_CONTAINS("cascade c runs 1 stages, before 2", meanings.c_str());
+  STRCMP_CONTAINS("cascade c runs m/a; before m/a, m/b", meanings.c_str());
   CHECK(WithVersionTakenOut(files, { "m", "z" }).error().mCode ==
         ErrorCode::NotFound);
 
--- a/include/Acaciavale/LibSettings/SettingsEdit.h
+++ b/include/Acaciavale/LibSettings/SettingsEdit.h
@@ -28,9 +28,9 @@
   auto operator<=>(const WithdrawalRequest&) const = default;
 };
 
-/// Sets the version's state, takes it out of cascades that have other stages,
-/// and pauses roll-outs that lead to it. NotFound where there is no such
-/// version.
+/// Sets the version's state. A withdrawn one leaves the cascades that have
+/// other stages; where it does not serve, roll-outs that lead to it pause.
+/// NotFound where there is no such version.
 ErrorOr<std::vector<SettingsFile>> WithVersionTakenOut(
   const std::vector<SettingsFile>& aFiles,
   const WithdrawalRequest& aRequest);
--- a/include/Acaciavale/LibSettings/SettingsReport.h
+++ b/include/Acaciavale/LibSettings/SettingsReport.h
@@ -43,7 +43,9 @@
 std::string ExplainText(const std::vector<Explained>& aExplained);
 std::string ExplainJson(const std::vector<Explained>& aExplained);
 std::string DifferenceText(const SettingsDifference& aDifference);
-std::string DifferenceJson(const SettingsDifference& aDifference);
+/// The generation is the one that the files are compared with.
+std::string DifferenceJson(const SettingsDifference& aDifference,
+                           std::int64_t aGeneration = 0);
 std::string HistoryText(const std::vector<SettingsRoot>& aRoots);
 std::string HistoryJson(const std::vector<SettingsRoot>& aRoots);
 
