--- /dev/null
+++ b/Tests/LibMembership/Tables.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <LibMembership/EvidenceRumours.h>
+#include <LibMembership/MemberTable.h>
+#include <LibMembership/Pacing.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// A fleet of member tables without sockets or clock, for tests and
+/// measurements: each round every VM exchanges digests with a few others.
+namespace Acaciavale {
+
+inline VmState FleetVm(std::size_t aIndex)
+{
+  VmState state;
+  state.mName = "vm-" + std::to_string(aIndex);
+  state.mIncarnation = "0123456789abcdef0123456789abcdef";
+  state.mCallerAddress = "10.0.0.1:8080";
+  state.mPeerAddress = "10.0.0.1:" + std::to_string(10000 + aIndex);
+  state.mOperatorAddress = "10.0.0.1:9090";
+  state.mFailureDomain = "domain-" + std::to_string(aIndex % 9);
+  return state;
+}
+
+struct TableFleet
+{
+  std::vector<VmState> mStates;
+  std::vector<MemberTable> mTables;
+  std::set<std::size_t> mStopped; ///< Neither beat, ask nor answer.
+  /// Whether two VMs can reach each other.
+  std::function<bool(std::size_t, std::size_t)> mReach =
+    [](std::size_t, std::size_t) { return true; };
+  Random mRandom{ 1 };
+  TimePoint mNow{};
+  MembershipOptions mOptions;
+
+  /// Everybody knows everybody, as after reading the list of VMs.
+  explicit TableFleet(std::size_t aSize)
+    : mTables(aSize)
+  {
+    for (std::size_t index = 0; index < aSize; ++index) {
+      mStates.push_back(FleetVm(index));
+      BeatSelf(mTables[index], mStates[index], false, mNow);
+    }
+    for (MemberTable& table : mTables) {
+      for (const VmState& state : mStates) {
+        AddSeed(table, state, mNow);
+      }
+    }
+  }
+
+  std::size_t IndexOf(ShortId aId) const
+  {
+    for (std::size_t index = 0; index < mTables.size(); ++index) {
+      if (mTables[index].mSelf == aId) {
+        return index;
+      }
+    }
+    return mTables.size();
+  }
+
+  void Exchange(std::size_t aFrom, std::size_t aTo, std::size_t aRows)
+  {
+    if (mStopped.contains(aTo) || !mReach(aFrom, aTo)) {
+      return;
+    }
+    Digest asked{ mTables[aFrom].mSelf, {}, {}, {}, {} };
+    asked.mRows = ChooseRows(mTables[aFrom], aRows);
+    MergeDigest(mTables[aTo], asked, mNow);
+    Digest answer{ mTables[aTo].mSelf, {}, {}, {}, {} };
+    answer.mRows = ChooseRows(mTables[aTo], aRows);
+    MergeDigest(mTables[aFrom], answer, mNow);
+  }
+
+  /// One round of everybody; returns the deaths that were noticed.
+  std::vector<Incarnation> Round()
+  {
+    const RoundPlan plan = PlanRound(mOptions, mTables.size());
+    const FailureTimes times = ScaledTimes(mOptions, mTables.size());
+    std::vector<Incarnation> died;
+    mNow += plan.mPeriod;
+    for (std::size_t index = 0; index < mTables.size(); ++index) {
+      if (mStopped.contains(index)) {
+        continue;
+      }
+      MemberTable& table = mTables[index];
+      BeatSelf(table, mStates[index], false, mNow);
+      const auto noticed = JudgeHealth(table, times, mNow);
+      died.insert(died.end(), noticed.begin(), noticed.end());
+      auto targets = DrawPeers(table, plan.mFanOut, mRandom);
+      const auto dead = DrawDeadPeer(table, mRandom);
+      if (dead && mRandom.Below(4) == 0) {
+        targets.push_back(*dead);
+      }
+      for (const ShortId id : targets) {
+        Exchange(index, IndexOf(id), plan.mRows);
+      }
+    }
+    return died;
+  }
+};
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Tests/LibMembership/TestDigestCodec.cpp
@@ -0,0 +1,168 @@
+#include "Tables.h"
+
+#include <LibMembership/DigestCodec.h>
+#include <LibMembership/VmRecord.h>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Acaciavale;
+
+namespace {
+
+Digest SampleDigest()
+{
+  Digest digest;
+  digest.mSender = 7;
+  digest.mRows = { { 1, 9, 3, 41, true, false, false },
+                   { 2, 1, 0, 40, false, true, true } };
+  digest.mDescribed = { { FleetVm(5), false } };
+  EvidenceCell cell;
+  cell.mAnswers = 5;
+  cell.mErrors = 1;
+  digest.mEvidence = { { 7, 1, { { { "m", "v", "k" }, cell } } } };
+  digest.mUnknown = { 3, 4 };
+  return digest;
+}
+
+std::vector<BillEntry> SampleEntries()
+{
+  BillEntry entry;
+  entry.mIncarnation = { "vm-1", "nonce" };
+  entry.mNumber = 4;
+  entry.mRequest = "00112233445566778899aabbccddeeff";
+  entry.mAccount = "jadran";
+  entry.mModel = "summary";
+  entry.mVersion = "v2";
+  entry.mInputTokens = 1000;
+  entry.mOutputTokens = 80;
+  entry.mCharge = Money{ 1234 };
+  entry.mTime = UnixMilliseconds(1'700'000'000'000);
+  BillEntry other = entry;
+  other.mNumber = 5;
+  other.mRequest = "Not hexadecimal";
+  other.mVersion = "";
+  other.mTime -= UnixMilliseconds(20);
+  return { entry, other };
+}
+
+/// Parses and, if that works, merges: nothing may crash or pass a bound.
+void Handle(const std::string& aBytes, MemberTable& aTable)
+{
+  const auto digest = ParseDigest(aBytes);
+  if (digest) {
+    EvidenceRumours rumours;
+    MergeDigest(aTable, *digest, TimePoint{});
+    MergeRumours(rumours, aTable.mSelf, digest->mEvidence, 3);
+    ChooseRows(aTable, 20);
+    ChooseRumours(rumours, 200);
+  }
+  (void)ParseEntries(aBytes);
+  (void)ParseVmRecord(aBytes);
+}
+
+std::string Mutated(std::string aBytes, Random& aRandom)
+{
+  const std::uint64_t changes = 1 + aRandom.Below(6);
+  for (std::uint64_t change = 0; change < changes; ++change) {
+    const std::size_t at = aRandom.Below(aBytes.size());
+    switch (aRandom.Below(3)) {
+      case 0:
+        aBytes[at] = static_cast<char>(aRandom.Below(256));
+        break;
+      case 1:
+        aBytes.insert(at, 1, static_cast<char>(aRandom.Below(256)));
+        break;
+      default:
+        aBytes.erase(at, 1 + aRandom.Below(4));
+        break;
+    }
+    if (aBytes.empty()) {
+      aBytes = "x";
+    }
+  }
+  return aBytes;
+}
+
+} // namespace
+
+TEST_GROUP(DigestCodec){};
+
+TEST(DigestCodec, ADigestSurvivesTheWire)
+{
+  const auto read = ParseDigest(SerializeDigest(SampleDigest()));
+  CHECK(read.has_value());
+  CHECK(*read == SampleDigest());
+}
+
+TEST(DigestCodec, RowsSurviveTheWire)
+{
+  CHECK(rc::check(
+    "rows", [](const std::vector<std::tuple<ShortId, std::uint16_t>>& aRows) {
+      Digest digest;
+      for (const auto& [id, value] : aRows) {
+        digest.mRows.push_back({ id, value, value, value, true, false, false });
+      }
+      const auto read = ParseDigest(SerializeDigest(digest));
+      RC_ASSERT(read.has_value());
+      RC_ASSERT(*read == digest);
+    }));
+}
+
+TEST(DigestCodec, EntriesSurviveTheWire)
+{
+  const auto read = ParseEntries(SerializeEntries(SampleEntries()));
+  CHECK(read.has_value());
+  CHECK(*read == SampleEntries());
+}
+
+TEST(DigestCodec, ARecordOfAVmSurvivesTheStore)
+{
+  const auto read =
+    ParseVmRecord(SerializeVmRecord(FleetVm(3), UnixMilliseconds(1), "nonce"));
+  CHECK(read.has_value());
+  CHECK(*read == FleetVm(3));
+}
+
+TEST(DigestCodec, RandomBytesAreRefusedOrTaken)
+{
+  Random random(20261204);
+  MemberTable table;
+  BeatSelf(table, FleetVm(0), false, TimePoint{});
+  for (int message = 0; message < 20'000; ++message) {
+    std::string bytes(random.Below(80), ' ');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random.Below(256));
+    }
+    Handle(bytes, table);
+  }
+  CHECK(table.mRecords.contains(table.mSelf));
+}
+
+TEST(DigestCodec, DamagedMessagesAreRefusedOrTaken)
+{
+  Random random(20261205);
+  MemberTable table;
+  BeatSelf(table, FleetVm(0), false, TimePoint{});
+  const std::string sources[] = {
+    SerializeDigest(SampleDigest()),
+    SerializeEntries(SampleEntries()),
+    SerializeVmRecord(FleetVm(3), UnixMilliseconds(1), "nonce"),
+  };
+  for (int message = 0; message < 30'000; ++message) {
+    Handle(Mutated(sources[random.Below(3)], random), table);
+  }
+  CHECK(table.mRecords.size() <= 4096);
+  CHECK(table.mRecords.contains(table.mSelf));
+}
+
+TEST(DigestCodec, EvidenceThatIsNoCountIsRefused)
+{
+  Digest digest = SampleDigest();
+  digest.mEvidence[0].mCells.begin()->second.mErrors = -1;
+  CHECK(!ParseDigest(SerializeDigest(digest)));
+  digest.mEvidence[0].mCells.begin()->second.mErrors =
+    std::numeric_limits<double>::infinity();
+  CHECK(!ParseDigest(SerializeDigest(digest)));
+}
