Weigh stale load reports by the work they counted

Cause: eight VMs chased the same two second old report, and admission refused at half load on a noisy estimate. Change: others' load is the report as far as it is fresh and this VM's own pattern for the rest; waiting risk below full; admission up to a VM's own part.

--- a/Benchmarks/DecisionMeasureParts/PoolRun.cpp
+++ b/Benchmarks/DecisionMeasureParts/PoolRun.cpp
@@ -487,7 +487,10 @@
     if (mNow > deadline) {
       replica.Leave(mJobs[next].mVm);
       mRouters[mJobs[next].mVm]->NoteEnded(
-        aReplica, { true, mReplicas[aReplica].Factor() }, mNow);
+        aReplica,
+        { true, mReplicas[aReplica].Factor() },
+        ClassOf(mJobs[next]).mSeconds,
+        mNow);
       Complete(next);
       continue;
     }
@@ -507,8 +510,10 @@
   ReplicaFake& replica = mReplicas[job.mReplica];
   replica.Leave(job.mVm);
   replica.FreeSlot();
-  mRouters[job.mVm]->NoteEnded(
-    job.mReplica, { true, job.mService * replica.Factor() }, mNow);
+  mRouters[job.mVm]->NoteEnded(job.mReplica,
+                               { true, job.mService * replica.Factor() },
+                               job.mService * job.mNormalService,
+                               mNow);
   const std::uint32_t served = job.mReplica;
   Complete(aJob);
   StartNext(served);
@@ -519,7 +524,7 @@
   Job& job = mJobs[aJob];
   mReplicas[job.mReplica].Leave(job.mVm);
   RouterFake& router = *mRouters[job.mVm];
-  router.NoteEnded(job.mReplica, { false, 0 }, mNow);
+  router.NoteEnded(job.mReplica, { false, 0 }, 0, mNow);
   const bool hasTime = mNow < job.mArrival + ClassOf(job).mDeadlineSeconds;
   if (mScenario.mRetries && job.mAttempts < kMaxAttempts && hasTime &&
       router.mRetryBudget.TrySpend()) {
--- a/Benchmarks/DecisionMeasureParts/RouterFake.cpp
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.cpp
@@ -67,6 +67,7 @@
     view.mReportAge = ToDuration(aDispatch.mNow - mReportedAt[index]);
     view.mSecondsPerRequest =
       health.mSecondsPerRequest * aDispatch.mClassSeconds;
+    view.mTurnoverSeconds = health.mSecondsPerRequest * SecondsOf(mTurnover);
     view.mErrorShare = ErrorShare(health);
     view.mEjected = IsBlocked(health, view.mOwnInFlight, now);
     view.mPrefixShare = 0;
@@ -167,7 +168,11 @@
   query.mPriority = aClass.mPriority;
   query.mTimeLeft = ToDuration(aClass.mDeadlineSeconds);
   query.mLimitShare = 1.0 / mScenario.mVms;
-  query.mLoad = { pool.mSlots, pool.mInFlight, pool.mSecondsPerRequest };
+  query.mLoad = { pool.mSlots,
+                  pool.mInFlight,
+                  pool.mSecondsPerRequest,
+                  pool.mOwnInFlight,
+                  pool.mOwnSlots };
   return mAdmission.Start(aSettings, query, AtSeconds(aNow));
 }
 
@@ -180,6 +185,7 @@
 
 void RouterFake::NoteEnded(std::uint32_t aReplica,
                            const EndpointOutcome& aOutcome,
+                           double aNormalSeconds,
                            double aNow)
 {
   const std::int32_t position = mPositions[aReplica];
@@ -188,7 +194,9 @@
   }
   mViews[position].mOwnInFlight -= 1;
   mHealth[position] = Recorded(mHealth[position], aOutcome, AtSeconds(aNow));
-  if (!aOutcome.mOk) {
+  if (aOutcome.mOk) {
+    mTurnover = Recorded(mTurnover, aNormalSeconds);
+  } else {
     mHealth = WithEjections(mHealth, kEjectionCeiling, AtSeconds(aNow));
   }
 }
--- a/Benchmarks/DecisionMeasureParts/RouterFake.h
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.h
@@ -44,6 +44,7 @@
   void NoteSent(std::uint32_t aReplica);
   void NoteEnded(std::uint32_t aReplica,
                  const EndpointOutcome& aOutcome,
+                 double aNormalSeconds,
                  double aNow);
   void NoteReport(std::uint32_t aReplica,
                   std::int32_t aInFlight,
@@ -65,6 +66,7 @@
   Random mRandom;
   std::vector<EndpointView> mViews; ///< The subset; mIndex is the replica.
   std::vector<EndpointHealth> mHealth;
+  Turnover mTurnover; ///< Of the pool, at an unhurried replica's speed.
   std::vector<double> mReportedAt;
   std::vector<std::int32_t> mPositions; ///< Of each replica; -1 is none.
   std::uint64_t mNext;
--- a/Libraries/LibAdmission/AdmissionControl.cpp
+++ b/Libraries/LibAdmission/AdmissionControl.cpp
@@ -73,15 +73,40 @@
   aState.mFilledAt = std::max(aState.mFilledAt, aNow);
 }
 
+/// How full the pool is, 1 being every slot taken. The least of two estimates:
+/// everybody's requests in all slots, and this VM's in its own part.
+double Fill(const PoolLoad& aLoad)
+{
+  const double whole =
+    static_cast<double>(aLoad.mInFlight) / static_cast<double>(aLoad.mSlots);
+  if (aLoad.mOwnSlots <= 0) {
+    return whole;
+  }
+  return std::min(whole,
+                  static_cast<double>(aLoad.mOwnInFlight) / aLoad.mOwnSlots);
+}
+
+double MaxFill(Priority aPriority)
+{
+  switch (aPriority) {
+    case Priority::Batch:
+      return kBatchFill;
+    case Priority::Interactive:
+      return kInteractiveFill;
+    case Priority::Urgent:
+      break;
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
 AdmissionDecision CheckLoad(const AdmissionQuery& aQuery)
 {
   const PoolLoad& load = aQuery.mLoad;
   if (load.mSlots <= 0) {
     return {};
   }
-  const auto slots = static_cast<double>(load.mSlots);
-  const auto inFlight = static_cast<double>(load.mInFlight);
-  const double waiting = std::max(0.0, inFlight + 1 - slots) / slots;
+  const double fill = Fill(load);
+  const double waiting = std::max(0.0, fill - 1);
   const double seconds = load.mSecondsPerRequest * (1 + waiting);
   if (seconds > std::chrono::duration<double>(aQuery.mTimeLeft).count()) {
     const AdmissionVerdict verdict = waiting > 0
@@ -89,16 +114,10 @@
                                        : AdmissionVerdict::DeadlineTooShort;
     return { verdict, FromSeconds(load.mSecondsPerRequest * waiting) };
   }
-  double fill = std::numeric_limits<double>::infinity();
-  if (aQuery.mPriority == Priority::Batch) {
-    fill = kBatchFill;
-  } else if (aQuery.mPriority == Priority::Interactive) {
-    fill = kInteractiveFill;
-  }
-  if (inFlight < fill * slots) {
+  const double excess = fill - MaxFill(aQuery.mPriority);
+  if (excess < 0) {
     return {};
   }
-  const double excess = (inFlight + 1 - fill * slots) / slots;
   return { AdmissionVerdict::Overloaded,
            FromSeconds(load.mSecondsPerRequest * excess) };
 }
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -8,6 +8,8 @@
 
 /// Speed assumed of an endpoint when none of the pool was measured.
 constexpr double kUnknownSecondsPerRequest = 1;
+/// Wait in turnovers at an endpoint whose slots all seem just taken.
+constexpr double kFullRisk = 0.1;
 /// How much longer than the best the session's own endpoint may take.
 constexpr double kPreferredSlack = 1.25;
 
@@ -19,13 +21,32 @@
                    aEndpoint.mIndex) == aQuery.mExcluded.end();
 }
 
-/// Everybody's requests there now: the report, corrected for what this VM
-/// itself has started and finished since.
-double EstimatedInFlight(const EndpointView& aEndpoint)
+/// Everybody's requests there now. This VM's own are known. A report on the
+/// others' is worth less the more of what it counted has since ended; what is
+/// missing is taken to be as this VM's own, since all VMs decide alike. So the
+/// VMs do not chase one stale report together.
+double EstimatedInFlight(const EndpointView& aEndpoint,
+                         const EndpointQuery& aQuery,
+                         double aSeconds)
 {
-  const std::int32_t others =
+  const double reported =
     std::max(0, aEndpoint.mReportedInFlight - aEndpoint.mOwnInFlightAtReport);
-  return others + aEndpoint.mOwnInFlight;
+  const double age =
+    std::chrono::duration<double>(aEndpoint.mReportAge).count();
+  // NOTE: 1 / (1 + x) in the place of exp(-x): near enough, and quicker.
+  const double worth = aSeconds / (aSeconds + age);
+  const double alike =
+    aEndpoint.mOwnInFlight * (std::max(1U, aQuery.mLiveVms) - 1.0);
+  return aEndpoint.mOwnInFlight + worth * reported + (1 - worth) * alike;
+}
+
+/// Expected wait in turnovers at a load, 1 being every slot taken. Below 1 it
+/// is the risk that the estimate is too low.
+double WaitingShare(double aLoad)
+{
+  const double square = aLoad * aLoad;
+  const double risk = kFullRisk * std::min(1.0, square * square);
+  return risk + std::max(0.0, aLoad - 1);
 }
 
 /// Expected seconds until a request sent there now is served.
@@ -38,8 +59,11 @@
                            : aUsualSeconds;
   const double slots =
     std::max(1.0, aEndpoint.mSlots * (1 - aQuery.mReservedShare));
-  const double waiting = EstimatedInFlight(aEndpoint) + 1 - slots;
-  double score = seconds * (1 + std::max(0.0, waiting) / slots);
+  const double turnover =
+    aEndpoint.mTurnoverSeconds > 0 ? aEndpoint.mTurnoverSeconds : seconds;
+  const double load =
+    (EstimatedInFlight(aEndpoint, aQuery, turnover) + 1) / slots;
+  double score = seconds + turnover * WaitingShare(load);
   score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
   if (aEndpoint.mFailureDomain != aQuery.mFailureDomain) {
     score += aQuery.mCrossDomainSeconds;
--- a/Libraries/LibRouting/EndpointHealth.cpp
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -11,6 +11,7 @@
 constexpr double kHalfLifeSeconds = 10;
 /// Weight of a new measurement in the smoothed speed.
 constexpr double kSpeedWeight = 0.2;
+constexpr double kTurnoverWeight = 0.01;
 constexpr std::int32_t kErrorsInARow = 3;
 /// Errors, by count and by share above the pool's, that earn an ejection.
 constexpr double kMinErrors = 4;
@@ -150,4 +151,18 @@
   return aPool;
 }
 
+Turnover Recorded(Turnover aTurnover, double aServiceSeconds)
+{
+  const double weight = aTurnover.mSeconds > 0 ? kTurnoverWeight : 1;
+  aTurnover.mSeconds += weight * (aServiceSeconds - aTurnover.mSeconds);
+  aTurnover.mSquares +=
+    weight * (aServiceSeconds * aServiceSeconds - aTurnover.mSquares);
+  return aTurnover;
+}
+
+double SecondsOf(const Turnover& aTurnover)
+{
+  return aTurnover.mSeconds > 0 ? aTurnover.mSquares / aTurnover.mSeconds : 0;
+}
+
 } // namespace Acaciavale
--- a/Libraries/LibRouting/EndpointSubset.cpp
+++ b/Libraries/LibRouting/EndpointSubset.cpp
@@ -49,6 +49,7 @@
   KeepBest(near, aSize - fromFar);
   KeepBest(far, aSize - near.size());
   std::vector<std::uint32_t> subset;
+  subset.reserve(near.size() + far.size());
   for (const Ranked& ranked : near) {
     subset.push_back(ranked.mIndex);
   }
--- a/Libraries/LibRouting/PoolEstimate.cpp
+++ b/Libraries/LibRouting/PoolEstimate.cpp
@@ -26,9 +26,13 @@
         std::max(1, endpoint.mSlots) / endpoint.mSecondsPerRequest;
     }
   }
-  const double everybody =
-    std::max(own, reported + ownChange * std::max(1U, aLiveVms));
+  const double othersGrowth =
+    std::max(0.0, ownChange) * (std::max(1U, aLiveVms) - 1.0);
+  const double everybody = std::max(own, reported + ownChange + othersGrowth);
   estimate.mInFlight = std::llround(everybody);
+  estimate.mOwnInFlight = std::llround(own);
+  estimate.mOwnSlots =
+    static_cast<double>(estimate.mSlots) / std::max(1U, aLiveVms);
   if (slotsPerSecond > 0) {
     estimate.mSecondsPerRequest =
       static_cast<double>(estimate.mSlots) / slotsPerSecond;
--- a/include/Acaciavale/LibAdmission/Admission.h
+++ b/include/Acaciavale/LibAdmission/Admission.h
@@ -27,6 +27,11 @@
   std::int64_t mSlots = 0;
   std::int64_t mInFlight = 0; ///< Everybody's, estimated.
   double mSecondsPerRequest = 0;
+  std::int64_t mOwnInFlight = 0; ///< This VM's.
+  /// This VM's part of the slots; 0 is unknown. Within it a VM admits whatever
+  /// it hears of the others, so that a stale report neither starves the pool
+  /// nor floods it.
+  double mOwnSlots = 0;
 
   auto operator<=>(const PoolLoad&) const = default;
 };
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -24,7 +24,10 @@
   std::int32_t mOwnInFlightAtReport = 0; ///< This VM's, when that was reported.
   Duration mReportAge{};
   double mSecondsPerRequest = 0; ///< Measured service time; 0 is unknown.
-  std::int32_t mSlots = 1;       ///< Requests that it serves at once.
+  /// How long the requests that it holds take; 0 is as mSecondsPerRequest. Not
+  /// the same where look-ups and long drafts share an endpoint.
+  double mTurnoverSeconds = 0;
+  std::int32_t mSlots = 1; ///< Requests that it serves at once.
   double mPrefixShare = 0; ///< Share of this prompt that it has in its cache.
   double mErrorShare = 0;  ///< Recent share of failures.
 
@@ -67,13 +70,16 @@
   std::int64_t mSlots = 0;
   std::int64_t mInFlight = 0; ///< Everybody's.
   double mSecondsPerRequest = 0;
+  std::int64_t mOwnInFlight = 0; ///< This VM's.
+  double mOwnSlots = 0; ///< This VM's part of the slots, if VMs are alike.
 
   auto operator<=>(const PoolEstimate&) const = default;
 };
 
-/// Sums a pool over the endpoints that take work. What this VM has started or
-/// finished since the last report counts once for each live VM: callers spread
-/// over the VMs, so the others' load has moved as this one's has.
+/// Sums a pool over the endpoints that take work. Where this VM's requests have
+/// grown since the last report, the others' are taken to have grown as much:
+/// callers spread over the VMs, so a burst reaches all. A fall counts for this
+/// VM alone, so the estimate errs on the high side.
 PoolEstimate EstimatePool(const std::vector<EndpointView>& aEndpoints,
                           std::uint32_t aLiveVms);
 
--- a/include/Acaciavale/LibRouting/EndpointHealth.h
+++ b/include/Acaciavale/LibRouting/EndpointHealth.h
@@ -61,4 +61,17 @@
                                           double aCeiling,
                                           TimePoint aNow);
 
+/// How long the requests in flight take, as opposed to those that end: long
+/// requests are in flight for longer, so they count by their length.
+struct Turnover
+{
+  double mSeconds = 0; ///< Smoothed service time.
+  double mSquares = 0; ///< Smoothed square of it.
+
+  auto operator<=>(const Turnover&) const = default;
+};
+
+Turnover Recorded(Turnover aTurnover, double aServiceSeconds);
+double SecondsOf(const Turnover& aTurnover);
+
 } // namespace Acaciavale
