Smooth the measured speed of endpoints over more answers

Cause: a smoothed speed over five answers swung by a sixth and moved the choice. Change: a plain mean at first, then smoothing over 20 answers.

--- a/Libraries/LibRouting/EndpointHealth.cpp
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr double kHalfLifeSeconds = 10;
-/// Weight of a new measurement in the smoothed speed.
-constexpr double kSpeedWeight = 0.2;
+/// Least weight of a new measurement in the smoothed speed; the first ones
+/// weigh as in a plain mean.
+constexpr double kSpeedWeight = 0.05;
 constexpr double kTurnoverWeight = 0.01;
 constexpr std::int32_t kErrorsInARow = 3;
 /// Errors, by count and by share above the pool's, that earn an ejection.
@@ -79,7 +80,8 @@
   aHealth.mSuccesses += 1;
   aHealth.mConsecutiveErrors = 0;
   aHealth.mConsecutiveSuccesses += 1;
-  const double weight = aHealth.mSecondsPerRequest > 0 ? kSpeedWeight : 1;
+  aHealth.mSpeedSamples += 1;
+  const double weight = std::max(kSpeedWeight, 1.0 / aHealth.mSpeedSamples);
   aHealth.mSecondsPerRequest +=
     weight * (aOutcome.mServiceSeconds - aHealth.mSecondsPerRequest);
   if (aNow - aHealth.mEjectedUntil > kCleanTime && !IsOnProbation(aHealth)) {
--- a/include/Acaciavale/LibRouting/EndpointHealth.h
+++ b/include/Acaciavale/LibRouting/EndpointHealth.h
@@ -26,6 +26,7 @@
   std::int32_t mConsecutiveErrors = 0;
   std::int32_t mConsecutiveSuccesses = 0;
   double mSecondsPerRequest = 0; ///< Smoothed over successes; 0 is unknown.
+  std::uint32_t mSpeedSamples = 0;
   TimePoint mUpdatedAt{};
   TimePoint mEjectedUntil{};
   std::int32_t mEjections = 0; ///< In a row, without a clean time between.
