--- a/Libraries/LibRouting/EndpointHealth.cpp
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 constexpr double kHalfLifeSeconds = 10;
-/// Weight of a new measurement in the smoothed speed.
-constexpr double kSpeedWeight = 0.2;
+/// Least weight of a new measurement in the smoothed speed; the first ones
+/// weigh as in a plain mean.
+constexpr double kSpeedWeight = 0.05;
+constexpr double kTurnoverWeight = 0.01;
 constexpr std::int32_t kErrorsInARow = 3;
 /// Errors, by count and by share above the pool's, that earn an ejection.
 constexpr double kMinErrors = 4;
@@ -78,7 +80,8 @@
   aHealth.mSuccesses += 1;
   aHealth.mConsecutiveErrors = 0;
   aHealth.mConsecutiveSuccesses += 1;
-  const double weight = aHealth.mSecondsPerRequest > 0 ? kSpeedWeight : 1;
+  aHealth.mSpeedSamples += 1;
+  const double weight = std::max(kSpeedWeight, 1.0 / aHealth.mSpeedSamples);
   aHealth.mSecondsPerRequest +=
     weight * (aOutcome.mServiceSeconds - aHealth.mSecondsPerRequest);
   if (aNow - aHealth.mEjectedUntil > kCleanTime && !IsOnProbation(aHealth)) {
@@ -150,4 +153,18 @@
   return aPool;
 }
 
+Turnover Recorded(Turnover aTurnover, double aServiceSeconds)
+{
+  const double weight = aTurnover.mSeconds > 0 ? kTurnoverWeight : 1;
+  aTurnover.mSeconds += weight * (aServiceSeconds - aTurnover.mSeconds);
+  aTurnover.mSquares +=
+    weight * (aServiceSeconds * aServiceSeconds - aTurnover.mSquares);
+  return aTurnover;
+}
+
+double SecondsOf(const Turnover& aTurnover)
+{
+  return aTurnover.mSeconds > 0 ? aTurnover.mSquares / aTurnover.mSeconds : 0;
+}
+
 } // namespace Acaciavale
