--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -45,7 +45,7 @@
   auto& upload = *static_cast<Upload*>(aFrom);
   const std::size_t bytes =
     std::min(aSize * aCount, upload.mBody.size() - upload.mSent);
-  std::memcpy(aTo, upload.mBody.data() + upload.mSent, bytes);
+  std::copy_n(upload.mBody.data() + upload.mSent, bytes, aTo);
   upload.mSent += bytes;
   return bytes;
 }
--- a/Libraries/LibPlatform/KeyValueStore.cpp
+++ b/Libraries/LibPlatform/KeyValueStore.cpp
@@ -18,7 +18,7 @@
 {
   bool unknown = false;
   for (int attempt = 0; attempt < kWriteAttempts; ++attempt) {
-    const ErrorOr<std::int64_t> written = aStore.mCompareAndSwap(aWrite);
+    ErrorOr<std::int64_t> written = aStore.mCompareAndSwap(aWrite);
     if (written) {
       return written;
     }
--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace Acaciavale::StandIns {
 
@@ -60,12 +61,13 @@
                                   int aMaxTokens)
 {
   Random random(aSeed);
-  const int least = std::max(kLeastTokens, aMaxTokens / 2);
-  const int most = std::max(least, aMaxTokens);
-  const int count = least + static_cast<int>(random.Below(
-                              static_cast<std::uint64_t>(most - least + 1)));
+  const auto least =
+    static_cast<std::uint64_t>(std::max(kLeastTokens, aMaxTokens / 2));
+  const auto most =
+    static_cast<std::uint64_t>(std::max(kLeastTokens, aMaxTokens));
+  const std::uint64_t count = least + random.Below(most - least + 1);
   std::vector<std::string> tokens{ aRequest };
-  while (static_cast<int>(tokens.size()) < count - 1) {
+  while (tokens.size() < count - 1) {
     tokens.push_back(std::string(" ") + kWords[random.Below(kWords.size())]);
   }
   tokens.push_back(" end-of " + aRequest);
@@ -134,7 +136,7 @@
     co_await aExchange.Reply(503, ErrorBody("version not loaded", "no").dump());
     co_return;
   }
-  class Run run;
+  struct Run run;
   run.mPart = mSetup.mListing.mName;
   run.mRequest = job.mRequest;
   run.mIdempotencyKey =
--- a/Tests/StandIns/KeyValueService.cpp
+++ b/Tests/StandIns/KeyValueService.cpp
@@ -40,10 +40,10 @@
     co_return;
   }
   const Answer answer = Call(aExchange.Asked());
-  if (answer.mWrote && mFaults.Chance(faults.mLoseAnswers)) {
+  if (answer.mChange != 0 && mFaults.Chance(faults.mLoseAnswers)) {
     {
       const std::lock_guard lock(mMutex);
-      mHistory.back().mAnswerLost = true;
+      mHistory[answer.mChange - 1].mAnswerLost = true;
     }
     aExchange.Drop();
     co_return;
@@ -161,7 +161,7 @@
   const std::int64_t revision = ++mRevision;
   mEntries[key] = { { key, value, revision }, lease };
   Record({ key, value, revision }, "put");
-  return { 200, json{ { "revision", revision } }.dump(), true };
+  return { 200, json{ { "revision", revision } }.dump(), mHistory.size() };
 }
 
 KeyValueService::Answer KeyValueService::Remove(const std::string& aKey,
@@ -173,7 +173,7 @@
   }
   mEntries.erase(aKey);
   Record({ aKey, "", ++mRevision }, "remove");
-  return { 200, json{ { "revision", mRevision } }.dump(), true };
+  return { 200, json{ { "revision", mRevision } }.dump(), mHistory.size() };
 }
 
 KeyValueService::Answer KeyValueService::GrantLease(const std::string& aBody)
--- a/Tests/StandIns/KeyValueService.h
+++ b/Tests/StandIns/KeyValueService.h
@@ -64,7 +64,7 @@
   {
     int mStatus = 200;
     std::string mBody;
-    bool mWrote = false;
+    std::size_t mChange = 0; ///< Its place in the history, from 1; 0 is none.
   };
 
   Task Watch(Exchange& aExchange);
