--- a/include/Acaciavale/LibAdmission/Admission.h
+++ b/include/Acaciavale/LibAdmission/Admission.h
@@ -23,7 +23,8 @@
 /// What the pool looks like to this VM.
 struct PoolLoad
 {
-  std::int64_t mSlots = 0;    ///< Requests that the pool serves at once.
+  /// Requests that the pool serves at once; 0 is unknown and refuses nothing.
+  std::int64_t mSlots = 0;
   std::int64_t mInFlight = 0; ///< Everybody's, estimated.
   double mSecondsPerRequest = 0;
 
@@ -53,6 +54,9 @@
   auto operator<=>(const AdmissionDecision&) const = default;
 };
 
+/// Share of the pool's slots that a class leaves free for more urgent ones.
+double ReservedShare(Priority aPriority);
+
 std::string Describe(AdmissionVerdict aVerdict);
 
 /// Admission over all accounts, in shards by account, each under its own lock.
