--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -24,7 +24,10 @@
   std::int32_t mOwnInFlightAtReport = 0; ///< This VM's, when that was reported.
   Duration mReportAge{};
   double mSecondsPerRequest = 0; ///< Measured service time; 0 is unknown.
-  std::int32_t mSlots = 1;       ///< Requests that it serves at once.
+  /// How long the requests that it holds take; 0 is as mSecondsPerRequest. Not
+  /// the same where look-ups and long drafts share an endpoint.
+  double mTurnoverSeconds = 0;
+  std::int32_t mSlots = 1; ///< Requests that it serves at once.
   double mPrefixShare = 0; ///< Share of this prompt that it has in its cache.
   double mErrorShare = 0;  ///< Recent share of failures.
 
@@ -44,6 +47,9 @@
   /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
   /// it on are then tried in an order that all VMs share.
   std::uint64_t mPrefixHash = 0;
+  /// Share of each endpoint's slots that this request leaves to more urgent
+  /// ones.
+  double mReservedShare = 0;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
@@ -58,6 +64,25 @@
   auto operator<=>(const EndpointDecision&) const = default;
 };
 
+/// What a whole pool looks like to one VM.
+struct PoolEstimate
+{
+  std::int64_t mSlots = 0;
+  std::int64_t mInFlight = 0; ///< Everybody's.
+  double mSecondsPerRequest = 0;
+  std::int64_t mOwnInFlight = 0; ///< This VM's.
+  double mOwnSlots = 0; ///< This VM's part of the slots, if VMs are alike.
+
+  auto operator<=>(const PoolEstimate&) const = default;
+};
+
+/// Sums a pool over the endpoints that take work. Where this VM's requests have
+/// grown since the last report, the others' are taken to have grown as much:
+/// callers spread over the VMs, so a burst reaches all. A fall counts for this
+/// VM alone, so the estimate errs on the high side.
+PoolEstimate EstimatePool(const std::vector<EndpointView>& aEndpoints,
+                          std::uint32_t aLiveVms);
+
 EndpointDecision ChooseEndpoint(const std::vector<EndpointView>& aEndpoints,
                                 const EndpointQuery& aQuery,
                                 Random& aRandom);
