--- /dev/null
+++ b/Tests/LibPlatform/TestWriteResolved.cpp
@@ -0,0 +1,90 @@
+#include "FakeKeyValueStore.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Acaciavale;
+
+namespace {
+
+const CompareAndSwap kOurs{ "key", "ours, nonce 1", 0, 0 };
+
+FakeStoreFaults LostAnswers(int aCount)
+{
+  FakeStoreFaults faults;
+  faults.mLoseAnswers = aCount;
+  return faults;
+}
+
+FakeStoreFaults LostRequests(int aCount)
+{
+  FakeStoreFaults faults;
+  faults.mLoseRequests = aCount;
+  return faults;
+}
+
+} // namespace
+
+TEST_GROUP(WriteResolved){};
+
+TEST(WriteResolved, FindsItsOwnValueAfterALostAnswer)
+{
+  FakeKeyValueStore fake;
+  fake.SetFaults(LostAnswers(1));
+  const auto revision = WriteResolved(fake.Store(), kOurs);
+  CHECK(revision.has_value());
+  const auto entry = fake.Store().mRead("key");
+  CHECK(entry.has_value() && *entry && (*entry)->mRevision == *revision);
+  LONGS_EQUAL(1, fake.Counts().mWrites);
+}
+
+TEST(WriteResolved, WritesAgainWhenTheRequestWasLost)
+{
+  FakeKeyValueStore fake;
+  fake.SetFaults(LostRequests(1));
+  CHECK(WriteResolved(fake.Store(), kOurs).has_value());
+  CHECK(fake.Store().mRead("key").value()->mValue == kOurs.mValue);
+}
+
+TEST(WriteResolved, FindsTheFirstWriteWhenTheSecondConflictsWithIt)
+{
+  // NOTE: The first request arrives late, after the read that looked for it.
+  FakeKeyValueStore fake;
+  KeyValueStore store = fake.Store();
+  int calls = 0;
+  store.mCompareAndSwap =
+    [&](const CompareAndSwap& aWrite) -> ErrorOr<std::int64_t> {
+    if (++calls == 1) {
+      return MakeError(ErrorCode::OutcomeUnknown, "late");
+    }
+    CHECK(fake.Store().mCompareAndSwap(kOurs).has_value());
+    return fake.Store().mCompareAndSwap(aWrite);
+  };
+  CHECK(WriteResolved(store, kOurs).has_value());
+}
+
+TEST(WriteResolved, TellsThatAnotherWriterWon)
+{
+  FakeKeyValueStore fake;
+  CHECK(fake.Store().mCompareAndSwap({ "key", "theirs", 0, 0 }).has_value());
+  fake.SetFaults(LostRequests(1));
+  CHECK(WriteResolved(fake.Store(), kOurs).error().mCode ==
+        ErrorCode::Conflict);
+}
+
+TEST(WriteResolved, SaysUnknownWhenTheReadingFailsToo)
+{
+  FakeKeyValueStore fake;
+  FakeStoreFaults faults = LostAnswers(1);
+  faults.mFailReads = 3;
+  fake.SetFaults(faults);
+  CHECK(WriteResolved(fake.Store(), kOurs).error().mCode ==
+        ErrorCode::OutcomeUnknown);
+}
+
+TEST(WriteResolved, HandsOnThatNothingWasWritten)
+{
+  FakeKeyValueStore fake;
+  fake.SetDown(true);
+  CHECK(WriteResolved(fake.Store(), kOurs).error().mCode ==
+        ErrorCode::Unavailable);
+}
--- a/Tests/StandIns/HttpListener.cpp
+++ b/Tests/StandIns/HttpListener.cpp
@@ -373,12 +373,23 @@
     mPrivate->mContext, Repeat(aPause, std::move(aCall)), asio::detached);
 }
 
-void HttpThreads::WaitForSignal()
+struct StopSignal::Private
 {
-  asio::io_context context;
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([](const ErrorCode&, int) {});
-  context.run();
+  asio::io_context mContext;
+  asio::signal_set mSignals{ mContext, SIGTERM, SIGINT };
+};
+
+StopSignal::StopSignal()
+  : mPrivate(std::make_unique<Private>())
+{
+}
+
+StopSignal::~StopSignal() = default;
+
+void StopSignal::Wait()
+{
+  mPrivate->mSignals.async_wait([](const ErrorCode&, int) {});
+  mPrivate->mContext.run();
 }
 
 } // namespace Acaciavale::StandIns
--- a/Tests/StandIns/HttpListener.h
+++ b/Tests/StandIns/HttpListener.h
@@ -23,8 +23,22 @@
   /// Calls the function again and again, with a pause in between.
   void Every(Milliseconds aPause, std::function<void()> aCall);
 
-  /// Blocks until SIGTERM or SIGINT.
-  void WaitForSignal();
+private:
+  struct Private;
+  std::unique_ptr<Private> mPrivate;
+};
+
+/// Catches SIGTERM and SIGINT as long as it lives.
+class StopSignal
+{
+public:
+  StopSignal();
+  ~StopSignal();
+  StopSignal(const StopSignal&) = delete;
+  StopSignal& operator=(const StopSignal&) = delete;
+
+  /// Blocks until one of the signals has come.
+  void Wait();
 
 private:
   struct Private;
