--- a/include/Acaciavale/LibRouting/EndpointHealth.h
+++ b/include/Acaciavale/LibRouting/EndpointHealth.h
@@ -26,6 +26,7 @@
   std::int32_t mConsecutiveErrors = 0;
   std::int32_t mConsecutiveSuccesses = 0;
   double mSecondsPerRequest = 0; ///< Smoothed over successes; 0 is unknown.
+  std::uint32_t mSpeedSamples = 0;
   TimePoint mUpdatedAt{};
   TimePoint mEjectedUntil{};
   std::int32_t mEjections = 0; ///< In a row, without a clean time between.
@@ -61,4 +62,17 @@
                                           double aCeiling,
                                           TimePoint aNow);
 
+/// How long the requests in flight take, as opposed to those that end: long
+/// requests are in flight for longer, so they count by their length.
+struct Turnover
+{
+  double mSeconds = 0; ///< Smoothed service time.
+  double mSquares = 0; ///< Smoothed square of it.
+
+  auto operator<=>(const Turnover&) const = default;
+};
+
+Turnover Recorded(Turnover aTurnover, double aServiceSeconds);
+double SecondsOf(const Turnover& aTurnover);
+
 } // namespace Acaciavale
