--- a/Tests/StandIns/Control.cpp
+++ b/Tests/StandIns/Control.cpp
@@ -20,6 +20,7 @@
   return { { "number", aRun.mNumber },
            { "part", aRun.mPart },
            { "request", aRun.mRequest },
+           { "reference", aRun.mReference },
            { "idempotency_key", aRun.mIdempotencyKey },
            { "model", aRun.mModel },
            { "version", aRun.mVersion },
--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -1,5 +1,6 @@
 #include "Engine.h"
 
+#include "Answer.h"
 #include "Truth.h"
 
 #include <Acaciavale/LibPlatform/LoadReport.h>
@@ -7,7 +8,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace Acaciavale::StandIns {
 
@@ -22,14 +22,8 @@
 constexpr std::size_t kKeptPrefixEvents = 128;
 constexpr double kLostPrefixEvents = 0.05;
 constexpr int kDefaultTokens = 32;
-constexpr int kLeastTokens = 3;
 constexpr int kDefaultPriority = 1;
 
-/// Words that the answers are made of.
-constexpr std::array<const char*, 8> kWords{
-  "valid", "exit", "tile", "crew", "basin", "review", "date", "drill"
-};
-
 json ErrorBody(const std::string& aMessage, const char* aRan)
 {
   return { { "error", { { "message", aMessage } } }, { "ran", aRan } };
@@ -55,25 +49,6 @@
     static_cast<std::int64_t>(static_cast<double>(aTime.count()) * aFactor));
 }
 
-/// The whole answer, a token each: the request's id, words, "end-of ID".
-std::vector<std::string> TokensOf(std::uint64_t aSeed,
-                                  const std::string& aRequest,
-                                  int aMaxTokens)
-{
-  Random random(aSeed);
-  const auto least =
-    static_cast<std::uint64_t>(std::max(kLeastTokens, aMaxTokens / 2));
-  const auto most =
-    static_cast<std::uint64_t>(std::max(kLeastTokens, aMaxTokens));
-  const std::uint64_t count = least + random.Below(most - least + 1);
-  std::vector<std::string> tokens{ aRequest };
-  while (tokens.size() < count - 1) {
-    tokens.push_back(std::string(" ") + kWords[random.Below(kWords.size())]);
-  }
-  tokens.push_back(" end-of " + aRequest);
-  return tokens;
-}
-
 double ConfidenceOf(bool aGood, std::uint64_t aSeed)
 {
   Random random(aSeed);
@@ -139,6 +114,7 @@
   struct Run run;
   run.mPart = mSetup.mListing.mName;
   run.mRequest = job.mRequest;
+  run.mReference = ReferenceIn(aExchange.Asked().mBody);
   run.mIdempotencyKey =
     ValueOr(aExchange.Asked().mHeader, "idempotency-key", "");
   run.mModel = job.mVersion.mModel;
@@ -350,8 +326,10 @@
   job.mPrefix = PromptPrefixHash(prompt);
   const std::uint64_t seed =
     Mixed(mWorld.mSeed, job.mRequest + VersionPart(job.mVersion));
-  job.mTokens =
-    TokensOf(seed, job.mRequest, body.value("max_tokens", kDefaultTokens));
+  job.mTokens = AnswerTokens({ mWorld.mSeed,
+                               job.mRequest,
+                               job.mVersion,
+                               body.value("max_tokens", kDefaultTokens) });
   const bool good = IsGood(mWorld.mDeployment,
                            mWorld.mFaults,
                            mWorld.mSeed,
--- a/Tests/StandIns/PlainService.cpp
+++ b/Tests/StandIns/PlainService.cpp
@@ -1,5 +1,7 @@
 #include "PlainService.h"
 
+#include "Answer.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Acaciavale::StandIns {
@@ -35,6 +37,7 @@
   Run run;
   run.mPart = mSetup.mListing.mName;
   run.mRequest = ValueOr(asked.mHeader, "x-request-id", "");
+  run.mReference = ReferenceIn(asked.mPath + " " + asked.mBody);
   run.mIdempotencyKey = ValueOr(asked.mHeader, "idempotency-key", "");
   run.mMethod = asked.mMethod;
   run.mPath = asked.mPath;
@@ -57,7 +60,8 @@
                    { "method", asked.mMethod },
                    { "path", asked.mPath },
                    { "run", number },
-                   { "request", run.mRequest } };
+                   { "request", run.mRequest },
+                   { "reference", run.mReference } };
   co_await aExchange.Reply(200, body.dump());
 }
 
--- a/Tests/StandIns/RunLog.h
+++ b/Tests/StandIns/RunLog.h
@@ -25,6 +25,7 @@
   std::uint64_t mNumber = 0; ///< 1, 2, 3, … in the order of their starts.
   std::string mPart;
   std::string mRequest;
+  std::string mReference; ///< The test's own name for it, from path or body.
   std::string mIdempotencyKey;
   std::string mModel;
   std::string mVersion;
