--- a/Libraries/LibGenerated/Peer.pb.cpp
+++ b/Libraries/LibGenerated/Peer.pb.cpp
@@ -351,14 +351,14 @@
 
 const char descriptor_table_protodef_Peer_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\nPeer.proto\022\027Acaciavale.PeerMessages\"\364\001"
-  "\n\rVmDescription\022\014\n\004name\030\001 \001(\t\022\023\n\013incarna"
-  "tion\030\002 \001(\t\022\026\n\016caller_address\030\003 \001(\t\022\024\n\014pe"
-  "er_address\030\004 \001(\t\022\030\n\020operator_address\030\005 \001"
-  "(\t\022\026\n\016failure_domain\030\006 \001(\t\022\016\n\006weight\030\007 \001"
+  "\n\rVmDescription\022\014\n\004name\030\001 \001(\014\022\023\n\013incarna"
+  "tion\030\002 \001(\014\022\026\n\016caller_address\030\003 \001(\014\022\024\n\014pe"
+  "er_address\030\004 \001(\014\022\030\n\020operator_address\030\005 \001"
+  "(\014\022\026\n\016failure_domain\030\006 \001(\014\022\016\n\006weight\030\007 \001"
   "(\003\022\r\n\005flags\030\010 \001(\r\022\021\n\tin_flight\030\t \001(\003\022\033\n\023"
   "settings_generation\030\n \001(\003\022\021\n\theartbeat\030\013"
   " \001(\004\"\312\001\n\023EvidenceCellMessage\022\r\n\005model\030\001 "
-  "\001(\t\022\017\n\007version\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\r\n\005ra"
+  "\001(\014\022\017\n\007version\030\002 \001(\014\022\014\n\004kind\030\003 \001(\014\022\r\n\005ra"
   "ted\030\004 \001(\002\022\014\n\004good\030\005 \001(\002\022\017\n\007answers\030\006 \001(\002"
   "\022\016\n\006errors\030\007 \001(\002\022\023\n\013escalations\030\010 \001(\002\022\033\n"
   "\023first_token_seconds\030\t \001(\002\022\025\n\routput_tok"
@@ -382,10 +382,10 @@
   "\022\024\n\014input_tokens\030\t \001(\003\022\025\n\routput_tokens\030"
   "\n \001(\003\022\025\n\rcharge_micros\030\013 \001(\022\022\027\n\017time_aft"
   "er_base\030\014 \001(\022\"j\n\016EntriesMessage\022\r\n\005names"
-  "\030\001 \003(\t\022\021\n\tbase_time\030\002 \001(\003\0226\n\007entries\030\003 \003"
+  "\030\001 \003(\014\022\021\n\tbase_time\030\002 \001(\003\0226\n\007entries\030\003 \003"
   "(\0132%.Acaciavale.PeerMessages.EntryMessag"
-  "e\"9\n\rForgetMessage\022\n\n\002vm\030\001 \001(\t\022\r\n\005nonce\030"
-  "\002 \001(\t\022\r\n\005up_to\030\003 \001(\004\"\021\n\017Acknowledgement2"
+  "e\"9\n\rForgetMessage\022\n\n\002vm\030\001 \001(\014\022\r\n\005nonce\030"
+  "\002 \001(\014\022\r\n\005up_to\030\003 \001(\004\"\021\n\017Acknowledgement2"
   "\212\003\n\004Peer\022Z\n\010Exchange\022&.Acaciavale.PeerMe"
   "ssages.DigestMessage\032&.Acaciavale.PeerMe"
   "ssages.DigestMessage\022a\n\rFetchSettings\022(."
@@ -591,63 +591,57 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string name = 1;
+      // bytes name = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_name();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.VmDescription.name"));
         } else
           goto handle_unusual;
         continue;
-      // string incarnation = 2;
+      // bytes incarnation = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_incarnation();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.VmDescription.incarnation"));
         } else
           goto handle_unusual;
         continue;
-      // string caller_address = 3;
+      // bytes caller_address = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_caller_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.VmDescription.caller_address"));
         } else
           goto handle_unusual;
         continue;
-      // string peer_address = 4;
+      // bytes peer_address = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_peer_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.VmDescription.peer_address"));
         } else
           goto handle_unusual;
         continue;
-      // string operator_address = 5;
+      // bytes operator_address = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_operator_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.VmDescription.operator_address"));
         } else
           goto handle_unusual;
         continue;
-      // string failure_domain = 6;
+      // bytes failure_domain = 6;
       case 6:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
           auto str = _internal_mutable_failure_domain();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.VmDescription.failure_domain"));
         } else
           goto handle_unusual;
         continue;
@@ -720,63 +714,39 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string name = 1;
+  // bytes name = 1;
   if (!this->_internal_name().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_name().data(), static_cast<int>(this->_internal_name().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.VmDescription.name");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_name(), target);
   }
 
-  // string incarnation = 2;
+  // bytes incarnation = 2;
   if (!this->_internal_incarnation().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_incarnation().data(), static_cast<int>(this->_internal_incarnation().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.VmDescription.incarnation");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_incarnation(), target);
   }
 
-  // string caller_address = 3;
+  // bytes caller_address = 3;
   if (!this->_internal_caller_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_caller_address().data(), static_cast<int>(this->_internal_caller_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.VmDescription.caller_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_caller_address(), target);
   }
 
-  // string peer_address = 4;
+  // bytes peer_address = 4;
   if (!this->_internal_peer_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_peer_address().data(), static_cast<int>(this->_internal_peer_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.VmDescription.peer_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_peer_address(), target);
   }
 
-  // string operator_address = 5;
+  // bytes operator_address = 5;
   if (!this->_internal_operator_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_operator_address().data(), static_cast<int>(this->_internal_operator_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.VmDescription.operator_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_operator_address(), target);
   }
 
-  // string failure_domain = 6;
+  // bytes failure_domain = 6;
   if (!this->_internal_failure_domain().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_failure_domain().data(), static_cast<int>(this->_internal_failure_domain().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.VmDescription.failure_domain");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         6, this->_internal_failure_domain(), target);
   }
 
@@ -826,45 +796,45 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string name = 1;
+  // bytes name = 1;
   if (!this->_internal_name().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_name());
   }
 
-  // string incarnation = 2;
+  // bytes incarnation = 2;
   if (!this->_internal_incarnation().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_incarnation());
   }
 
-  // string caller_address = 3;
+  // bytes caller_address = 3;
   if (!this->_internal_caller_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_caller_address());
   }
 
-  // string peer_address = 4;
+  // bytes peer_address = 4;
   if (!this->_internal_peer_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_peer_address());
   }
 
-  // string operator_address = 5;
+  // bytes operator_address = 5;
   if (!this->_internal_operator_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_operator_address());
   }
 
-  // string failure_domain = 6;
+  // bytes failure_domain = 6;
   if (!this->_internal_failure_domain().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_failure_domain());
   }
 
@@ -1132,33 +1102,30 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string model = 1;
+      // bytes model = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_model();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.EvidenceCellMessage.model"));
         } else
           goto handle_unusual;
         continue;
-      // string version = 2;
+      // bytes version = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_version();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.EvidenceCellMessage.version"));
         } else
           goto handle_unusual;
         continue;
-      // string kind = 3;
+      // bytes kind = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_kind();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.EvidenceCellMessage.kind"));
         } else
           goto handle_unusual;
         continue;
@@ -1247,33 +1214,21 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string model = 1;
+  // bytes model = 1;
   if (!this->_internal_model().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_model().data(), static_cast<int>(this->_internal_model().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.EvidenceCellMessage.model");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_model(), target);
   }
 
-  // string version = 2;
+  // bytes version = 2;
   if (!this->_internal_version().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_version().data(), static_cast<int>(this->_internal_version().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.EvidenceCellMessage.version");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_version(), target);
   }
 
-  // string kind = 3;
+  // bytes kind = 3;
   if (!this->_internal_kind().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_kind().data(), static_cast<int>(this->_internal_kind().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.EvidenceCellMessage.kind");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_kind(), target);
   }
 
@@ -1363,24 +1318,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string model = 1;
+  // bytes model = 1;
   if (!this->_internal_model().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_model());
   }
 
-  // string version = 2;
+  // bytes version = 2;
   if (!this->_internal_version().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_version());
   }
 
-  // string kind = 3;
+  // bytes kind = 3;
   if (!this->_internal_kind().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_kind());
   }
 
@@ -3278,7 +3233,7 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // repeated string names = 1;
+      // repeated bytes names = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           ptr -= 1;
@@ -3287,7 +3242,6 @@
             auto str = _internal_add_names();
             ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
             CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.EntriesMessage.names"));
             if (!ctx->DataAvailable(ptr)) break;
           } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
         } else
@@ -3343,14 +3297,10 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // repeated string names = 1;
+  // repeated bytes names = 1;
   for (int i = 0, n = this->_internal_names_size(); i < n; i++) {
     const auto& s = this->_internal_names(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.EntriesMessage.names");
-    target = stream->WriteString(1, s, target);
+    target = stream->WriteBytes(1, s, target);
   }
 
   // int64 base_time = 2;
@@ -3383,11 +3333,11 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string names = 1;
+  // repeated bytes names = 1;
   total_size += 1 *
       ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.names_.size());
   for (int i = 0, n = _impl_.names_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
       _impl_.names_.Get(i));
   }
 
@@ -3553,23 +3503,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string vm = 1;
+      // bytes vm = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_vm();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.ForgetMessage.vm"));
         } else
           goto handle_unusual;
         continue;
-      // string nonce = 2;
+      // bytes nonce = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_nonce();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "Acaciavale.PeerMessages.ForgetMessage.nonce"));
         } else
           goto handle_unusual;
         continue;
@@ -3610,23 +3558,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string vm = 1;
+  // bytes vm = 1;
   if (!this->_internal_vm().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_vm().data(), static_cast<int>(this->_internal_vm().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.ForgetMessage.vm");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_vm(), target);
   }
 
-  // string nonce = 2;
+  // bytes nonce = 2;
   if (!this->_internal_nonce().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_nonce().data(), static_cast<int>(this->_internal_nonce().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "Acaciavale.PeerMessages.ForgetMessage.nonce");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_nonce(), target);
   }
 
@@ -3652,17 +3592,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string vm = 1;
+  // bytes vm = 1;
   if (!this->_internal_vm().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_vm());
   }
 
-  // string nonce = 2;
+  // bytes nonce = 2;
   if (!this->_internal_nonce().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_nonce());
   }
 
--- a/Libraries/LibMembership/EvidenceRumours.cpp
+++ b/Libraries/LibMembership/EvidenceRumours.cpp
@@ -10,7 +10,7 @@
 constexpr std::uint32_t kWindow = 64;
 constexpr std::size_t kMostCarried = 1024;
 constexpr std::size_t kMostOrigins = 4096;
-constexpr std::size_t kCellsPerRumour = 8;
+constexpr std::size_t kCellsPerRumour = 2;
 constexpr std::size_t kCellOverheadBytes = 40;
 constexpr std::size_t kRumourOverheadBytes = 12;
 
@@ -63,14 +63,16 @@
   return true;
 }
 
-void AddOwnEvidence(EvidenceRumours& aRumours,
-                    ShortId aSelf,
-                    const EvidenceView& aEvidence,
-                    int aSends)
+std::size_t AddOwnEvidence(EvidenceRumours& aRumours,
+                           ShortId aSelf,
+                           const EvidenceView& aEvidence,
+                           int aSends)
 {
+  std::size_t bytes = 0;
   EvidenceRumour rumour{ aSelf, 0, {} };
   const auto flush = [&] {
     rumour.mSequence = aRumours.mNextSequence++;
+    bytes += BytesOf(rumour);
     Carry(aRumours, std::move(rumour), aSends);
     rumour = EvidenceRumour{ aSelf, 0, {} };
   };
@@ -83,6 +85,7 @@
   if (!rumour.mCells.empty()) {
     flush();
   }
+  return bytes;
 }
 
 EvidenceView MergeRumours(EvidenceRumours& aRumours,
--- a/Libraries/LibMembership/EvidenceRumours.h
+++ b/Libraries/LibMembership/EvidenceRumours.h
@@ -34,11 +34,12 @@
 /// Marks the sequence as seen; false if it was seen before or is too old.
 bool MarkSeen(SeenSequences& aSeen, std::uint32_t aSequence);
 
-/// Splits own evidence into numbered rumours and takes them up for telling.
-void AddOwnEvidence(EvidenceRumours& aRumours,
-                    ShortId aSelf,
-                    const EvidenceView& aEvidence,
-                    int aSends);
+/// Splits own evidence into numbered rumours and takes them up for telling;
+/// returns their bytes.
+std::size_t AddOwnEvidence(EvidenceRumours& aRumours,
+                           ShortId aSelf,
+                           const EvidenceView& aEvidence,
+                           int aSends);
 
 /// Takes rumours from a peer; returns the evidence that is new here.
 EvidenceView MergeRumours(EvidenceRumours& aRumours,
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -10,7 +10,6 @@
 /// A dead record is kept this long, so that late rows do not revive it.
 constexpr Duration kDeadKept = std::chrono::minutes(30);
 constexpr std::size_t kMostRecords = 4096;
-constexpr std::size_t kRotatingPart = 4; ///< One row in this many.
 
 int UrgentSends(const MemberTable& aTable)
 {
@@ -53,6 +52,7 @@
     std::max(aRecord.mState.mSettingsGeneration, aRow.mSettingsGeneration);
   aRecord.mLeft = aRecord.mLeft || aRow.mLeft;
   aRecord.mLastProgress = aNow;
+  aRecord.mTells = 0;
   aRecord.mHealth = aRecord.mLeft ? VmHealth::Dead : VmHealth::Alive;
   if (news) {
     aRecord.mUrgentSends = aUrgentSends;
@@ -96,6 +96,47 @@
   return ids;
 }
 
+/// The order in which rows go into a digest; the least comes first.
+struct RowRank
+{
+  int mUrgency = 0; ///< Negative: news first.
+  int mTells = 0;   ///< Digests that carried this heartbeat.
+  Duration mAge{};  ///< Negative time of the last progress: fresh ones first.
+  std::uint64_t mDraw = 0;
+  ShortId mId = 0;
+
+  auto operator<=>(const RowRank&) const = default;
+};
+
+RowRank RankOf(const MemberTable& aTable, ShortId aId)
+{
+  const MemberRecord& record = aTable.mRecords.at(aId);
+  // NOTE: Many rows are equally fresh. Another order in each digest keeps any
+  //       of them from always coming last.
+  const std::uint64_t draw =
+    Random((std::uint64_t(aId) << 32) | aTable.mDigests).Next();
+  return { -record.mUrgentSends,
+           record.mTells,
+           -record.mLastProgress.time_since_epoch(),
+           draw,
+           aId };
+}
+
+/// The peer that was neither heard of nor asked for the longest time.
+std::vector<ShortId>::iterator MostSilent(const MemberTable& aTable,
+                                          std::vector<ShortId>& aIds,
+                                          TimePoint aNow)
+{
+  const auto quiet = [&aTable, aNow](ShortId aId) {
+    const MemberRecord& record = aTable.mRecords.at(aId);
+    return std::min(aNow - record.mLastProgress, aNow - record.mLastAsked);
+  };
+  return std::max_element(
+    aIds.begin(), aIds.end(), [&quiet](ShortId aLeft, ShortId aRight) {
+      return quiet(aLeft) < quiet(aRight);
+    });
+}
+
 VmHealth HealthOf(const MemberRecord& aRecord,
                   const FailureTimes& aTimes,
                   TimePoint aNow)
@@ -164,43 +205,23 @@
   if (self != aTable.mRecords.end()) {
     rows.push_back(RowOf(self->first, self->second));
   }
-  std::vector<ShortId> ids = TellableIds(aTable);
+  const std::vector<ShortId> ids = TellableIds(aTable);
   const std::size_t room =
     std::min(ids.size(), aMost > rows.size() ? aMost - rows.size() : 0);
-  const std::size_t rotating = room == ids.size() ? 0 : room / kRotatingPart;
-  std::vector<ShortId> chosen;
-  for (auto place = aTable.mRecords.upper_bound(aTable.mRotation);
-       chosen.size() < rotating;
-       ++place) {
-    if (place == aTable.mRecords.end()) {
-      place = aTable.mRecords.begin();
-    }
-    aTable.mRotation = place->first;
-    if (std::binary_search(ids.begin(), ids.end(), place->first)) {
-      chosen.push_back(place->first);
-    }
-  }
-  const std::set<ShortId> rotated(chosen.begin(), chosen.end());
-  std::erase_if(ids, [&rotated](ShortId aId) { return rotated.contains(aId); });
-  std::vector<std::pair<std::pair<int, Duration>, ShortId>> order;
-  order.reserve(ids.size());
+  ++aTable.mDigests;
+  std::vector<RowRank> ranks;
+  ranks.reserve(ids.size());
   for (const ShortId id : ids) {
-    const MemberRecord& record = aTable.mRecords.at(id);
-    order.push_back(
-      { { record.mUrgentSends, record.mLastProgress.time_since_epoch() }, id });
+    ranks.push_back(RankOf(aTable, id));
   }
-  const std::size_t first = room - rotating;
-  std::partial_sort(order.begin(),
-                    order.begin() + static_cast<std::ptrdiff_t>(first),
-                    order.end(),
-                    std::greater<>());
-  for (std::size_t index = 0; index < first; ++index) {
-    chosen.push_back(order[index].second);
-  }
-  for (const ShortId id : chosen) {
-    MemberRecord& record = aTable.mRecords.at(id);
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(room),
+                    ranks.end());
+  for (std::size_t index = 0; index < room; ++index) {
+    MemberRecord& record = aTable.mRecords.at(ranks[index].mId);
     record.mUrgentSends = std::max(0, record.mUrgentSends - 1);
-    rows.push_back(RowOf(id, record));
+    ++record.mTells;
+    rows.push_back(RowOf(ranks[index].mId, record));
   }
   return rows;
 }
@@ -259,8 +280,9 @@
   return ids;
 }
 
-std::vector<ShortId> DrawPeers(const MemberTable& aTable,
+std::vector<ShortId> DrawPeers(MemberTable& aTable,
                                std::size_t aMost,
+                               TimePoint aNow,
                                Random& aRandom)
 {
   std::vector<ShortId> ids = LivePeers(aTable);
@@ -268,7 +290,13 @@
   for (std::size_t index = 0; index < count; ++index) {
     std::swap(ids[index], ids[index + aRandom.Below(ids.size() - index)]);
   }
+  if (count > 0) {
+    std::iter_swap(ids.begin(), MostSilent(aTable, ids, aNow));
+  }
   ids.resize(count);
+  for (const ShortId id : ids) {
+    aTable.mRecords.at(id).mLastAsked = aNow;
+  }
   return ids;
 }
 
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -20,14 +20,16 @@
   bool mLeft = false;
   bool mDeathReported = false;
   TimePoint mLastProgress{}; ///< When its heartbeat last rose here.
+  TimePoint mLastAsked{};    ///< When a digest last went to it from here.
   int mUrgentSends = 0;      ///< Digests that shall still carry its news.
+  int mTells = 0;            ///< Digests that carried its last heartbeat.
 };
 
 struct MemberTable
 {
   ShortId mSelf = 0;
   std::map<ShortId, MemberRecord> mRecords; ///< The own record among them.
-  ShortId mRotation = 0;                    ///< Where the rotating rows go on.
+  std::uint32_t mDigests = 0;               ///< Digests built so far.
 };
 
 /// Times after which a silent VM is suspected and given up; see ScaledTimes.
@@ -61,8 +63,8 @@
 /// Adds a VM found in the key-value service, unless it is known already.
 void AddSeed(MemberTable& aTable, const VmState& aState, TimePoint aNow);
 
-/// Chooses the rows of one digest: the own row, then news, then the rows that
-/// changed last here, and one part in four by rotation.
+/// Chooses the rows of one digest: the own row, then news, then the heartbeats
+/// that were told least, the fresh ones first.
 std::vector<DigestRow> ChooseRows(MemberTable& aTable, std::size_t aMost);
 
 /// Full descriptions of those of the ids that are known here.
@@ -82,9 +84,12 @@
 /// Peers that digests may go to: not dead, not this VM.
 std::vector<ShortId> LivePeers(const MemberTable& aTable);
 
-/// Draws peers without repetition.
-std::vector<ShortId> DrawPeers(const MemberTable& aTable,
+/// Draws peers without repetition, and in the place of the first one the peer
+/// that was neither heard of nor asked for the longest time: a digest that
+/// misses somebody by chance does not make him suspect.
+std::vector<ShortId> DrawPeers(MemberTable& aTable,
                                std::size_t aMost,
+                               TimePoint aNow,
                                Random& aRandom);
 
 /// A peer that is taken for dead but did not leave in order. One is tried now
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -149,15 +149,13 @@
   std::vector<ShortId> TakeDigest(const Digest& aDigest)
   {
     MergeOutcome outcome;
-    std::size_t members = 0;
     ShortId self = 0;
     {
       const std::lock_guard lock(mTableMutex);
       outcome = MergeDigest(mTable, aDigest, MonotonicNow());
-      members = mTable.mRecords.size();
       self = mTable.mSelf;
     }
-    TakeEvidence(aDigest, self, members);
+    TakeEvidence(aDigest, self);
     AskForSettings(aDigest);
     if (outcome.mUnknown.size() > kMostDescribed) {
       outcome.mUnknown.resize(kMostDescribed);
@@ -165,13 +163,12 @@
     return outcome.mUnknown;
   }
 
-  void TakeEvidence(const Digest& aDigest, ShortId aSelf, std::size_t aMembers)
+  void TakeEvidence(const Digest& aDigest, ShortId aSelf)
   {
     EvidenceView fresh;
     {
       const std::lock_guard lock(mRumourMutex);
-      fresh =
-        MergeRumours(mRumours, aSelf, aDigest.mEvidence, TellTimes(aMembers));
+      fresh = MergeRumours(mRumours, aSelf, aDigest.mEvidence, kEvidenceTells);
     }
     if (!fresh.empty() && mCallbacks.mMergeEvidence) {
       mWork->Push([this, fresh] { mCallbacks.mMergeEvidence(fresh); });
@@ -294,6 +291,7 @@
   {
     TimePoint last = MonotonicNow();
     TimePoint lastEvidence = last;
+    std::size_t evidenceBytes = 0;
     std::int64_t allowance = mOptions.mBytesPerSecond;
     std::int64_t spent = DigestBytes();
     while (true) {
@@ -308,9 +306,10 @@
       last = now;
       Beat(now);
       const std::size_t members = MemberCount();
-      if (now - lastEvidence >= EvidencePeriod(mOptions, members)) {
+      if (now - lastEvidence >=
+          EvidencePeriod(mOptions, members, evidenceBytes)) {
         lastEvidence = now;
-        GatherEvidence(members);
+        evidenceBytes = GatherEvidence();
       }
       if (allowance > 0) {
         SendRound(plan);
@@ -377,10 +376,11 @@
     }
   }
 
-  void GatherEvidence(std::size_t aMembers)
+  /// Returns the bytes of what was gathered.
+  std::size_t GatherEvidence()
   {
     if (!mCallbacks.mTakeEvidence) {
-      return;
+      return 0;
     }
     const EvidenceView evidence = mCallbacks.mTakeEvidence();
     std::vector<ShortId> known;
@@ -393,14 +393,15 @@
       }
     }
     const std::lock_guard lock(mRumourMutex);
-    AddOwnEvidence(mRumours, self, evidence, TellTimes(aMembers));
     ForgetOrigins(mRumours, known);
+    return AddOwnEvidence(mRumours, self, evidence, kEvidenceTells);
   }
 
   std::vector<std::string> Targets(std::size_t aFanOut)
   {
     const std::lock_guard lock(mTableMutex);
-    std::vector<ShortId> ids = DrawPeers(mTable, aFanOut, mRandom);
+    std::vector<ShortId> ids =
+      DrawPeers(mTable, aFanOut, MonotonicNow(), mRandom);
     if (mRandom.Below(kDeadPeerRounds) == 0) {
       const auto dead = DrawDeadPeer(mTable, mRandom);
       if (dead && ids.size() >= aFanOut) {
--- a/Libraries/LibMembership/Pacing.h
+++ b/Libraries/LibMembership/Pacing.h
@@ -40,8 +40,14 @@
 /// Time between two uses of the key-value service by one VM.
 Duration StorePeriod(const MembershipOptions& aOptions, std::size_t aMembers);
 
-/// Time between two evidence rumours of one VM.
+/// How often a VM tells a piece of evidence on. Evidence is a sample: a few VMs
+/// in a hundred may miss a piece.
+constexpr int kEvidenceTells = 4;
+
+/// Time until a VM gathers evidence again, after that many bytes of it: the
+/// evidence of all VMs, told on by all, has to fit into the digests.
 Duration EvidencePeriod(const MembershipOptions& aOptions,
-                        std::size_t aMembers);
+                        std::size_t aMembers,
+                        std::size_t aBytes);
 
 } // namespace Acaciavale
--- a/Tests/LibMembership/Tables.h
+++ b/Tests/LibMembership/Tables.h
@@ -5,6 +5,7 @@
 #include <LibMembership/Pacing.h>
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,7 @@
 {
   std::vector<VmState> mStates;
   std::vector<MemberTable> mTables;
+  std::map<ShortId, std::size_t> mIndices;
   std::set<std::size_t> mStopped; ///< Neither beat, ask nor answer.
   /// Whether two VMs can reach each other.
   std::function<bool(std::size_t, std::size_t)> mReach =
@@ -44,6 +46,7 @@
     for (std::size_t index = 0; index < aSize; ++index) {
       mStates.push_back(FleetVm(index));
       BeatSelf(mTables[index], mStates[index], false, mNow);
+      mIndices[mTables[index].mSelf] = index;
     }
     for (MemberTable& table : mTables) {
       for (const VmState& state : mStates) {
@@ -52,16 +55,6 @@
     }
   }
 
-  std::size_t IndexOf(ShortId aId) const
-  {
-    for (std::size_t index = 0; index < mTables.size(); ++index) {
-      if (mTables[index].mSelf == aId) {
-        return index;
-      }
-    }
-    return mTables.size();
-  }
-
   void Exchange(std::size_t aFrom, std::size_t aTo, std::size_t aRows)
   {
     if (mStopped.contains(aTo) || !mReach(aFrom, aTo)) {
@@ -90,13 +83,13 @@
       BeatSelf(table, mStates[index], false, mNow);
       const auto noticed = JudgeHealth(table, times, mNow);
       died.insert(died.end(), noticed.begin(), noticed.end());
-      auto targets = DrawPeers(table, plan.mFanOut, mRandom);
+      auto targets = DrawPeers(table, plan.mFanOut, mNow, mRandom);
       const auto dead = DrawDeadPeer(table, mRandom);
       if (dead && mRandom.Below(4) == 0) {
         targets.push_back(*dead);
       }
       for (const ShortId id : targets) {
-        Exchange(index, IndexOf(id), plan.mRows);
+        Exchange(index, mIndices.at(id), plan.mRows);
       }
     }
     return died;
--- /dev/null
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -0,0 +1,386 @@
+#include <Acaciavale/LibMembership/Membership.h>
+
+#include <LibPlatform/FakeKeyValueStore.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Acaciavale;
+
+namespace {
+
+/// Only keeps a broken run from hanging; no verdict depends on it.
+constexpr auto kPatience = std::chrono::seconds(60);
+
+bool Eventually(const std::function<bool()>& aCondition)
+{
+  const TimePoint until = MonotonicNow() + kPatience;
+  while (!aCondition()) {
+    if (MonotonicNow() > until) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+/// One VM of the test with what its callbacks saw.
+class TestVm
+{
+public:
+  TestVm(FakeKeyValueStore& aStore,
+         const std::string& aName,
+         const std::string& aDomain,
+         const std::string& aIncarnation = "1")
+  {
+    mState.mName = aName;
+    mState.mIncarnation = aIncarnation;
+    mState.mFailureDomain = aDomain;
+    MembershipOptions options;
+    options.mListenAddress = "127.0.0.1:0";
+    options.mDigestPeriod = std::chrono::milliseconds(20);
+    options.mSuspectAfter = std::chrono::milliseconds(300);
+    options.mDeadAfter = std::chrono::milliseconds(600);
+    options.mBytesPerSecond = 1 << 20;
+    options.mStorePeriod = std::chrono::milliseconds(50);
+    mMembership =
+      std::make_unique<Membership>(options, Callbacks(), aStore.Store(), 42);
+    mAddress = *mMembership->Start();
+  }
+
+  ~TestVm() { Resume(); }
+
+  Membership& Part() { return *mMembership; }
+  void Stop() { mMembership.reset(); }
+
+  /// Its heartbeat stands still; its server still answers.
+  void Pause()
+  {
+    const std::lock_guard lock(mMutex);
+    mPaused = true;
+  }
+
+  void Resume()
+  {
+    const std::lock_guard lock(mMutex);
+    mPaused = false;
+    mResumed.notify_all();
+  }
+
+  void Change(const std::function<void(VmState&)>& aChange)
+  {
+    {
+      const std::lock_guard lock(mMutex);
+      aChange(mState);
+    }
+    mMembership->Announce();
+  }
+
+  VmState State() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mState;
+  }
+
+  int Deaths(const std::string& aVm) const
+  {
+    const std::lock_guard lock(mMutex);
+    const auto place = mDeaths.find(aVm);
+    return place == mDeaths.end() ? 0 : place->second;
+  }
+
+  std::size_t Held() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mHeld;
+  }
+
+  std::uint64_t ForgottenUpTo() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mForgottenUpTo;
+  }
+
+  double Answers() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mAnswers;
+  }
+
+  void AddEvidence(double aAnswers)
+  {
+    const std::lock_guard lock(mMutex);
+    EvidenceCell cell;
+    cell.mAnswers = aAnswers;
+    mEvidence[{ "model", "v1", "summary" }] = cell;
+  }
+
+  bool HasEvidence() const
+  {
+    const std::lock_guard lock(mMutex);
+    return !mEvidence.empty();
+  }
+
+  VmHealth HealthOf(const std::string& aVm) const
+  {
+    for (const Member& member : mMembership->Members()) {
+      if (member.mState.mName == aVm) {
+        return member.mHealth;
+      }
+    }
+    return VmHealth::Dead;
+  }
+
+private:
+  MembershipCallbacks Callbacks()
+  {
+    MembershipCallbacks callbacks;
+    callbacks.mSelf = [this] {
+      std::unique_lock lock(mMutex);
+      mResumed.wait(lock, [this] { return !mPaused; });
+      return mState;
+    };
+    callbacks.mSettingsBody = [](std::int64_t aGeneration) {
+      return "settings " + std::to_string(aGeneration);
+    };
+    callbacks.mNewerSettings = [this](std::int64_t aGeneration,
+                                      const std::string& aBody) {
+      const std::lock_guard lock(mMutex);
+      CHECK(aBody == "settings " + std::to_string(aGeneration));
+      CHECK(aGeneration > mState.mSettingsGeneration);
+      mState.mSettingsGeneration = aGeneration;
+    };
+    callbacks.mHoldEntries = [this](const std::vector<BillEntry>& aEntries) {
+      const std::lock_guard lock(mMutex);
+      mHeld += aEntries.size();
+    };
+    callbacks.mForgetEntries = [this](const Incarnation&, std::uint64_t aUpTo) {
+      const std::lock_guard lock(mMutex);
+      mForgottenUpTo = aUpTo;
+    };
+    callbacks.mVmDead = [this](const Incarnation& aIncarnation) {
+      const std::lock_guard lock(mMutex);
+      ++mDeaths[aIncarnation.mVm];
+    };
+    callbacks.mTakeEvidence = [this] {
+      const std::lock_guard lock(mMutex);
+      return std::exchange(mEvidence, {});
+    };
+    callbacks.mMergeEvidence = [this](const EvidenceView& aEvidence) {
+      const std::lock_guard lock(mMutex);
+      for (const auto& [key, cell] : aEvidence) {
+        mAnswers += cell.mAnswers;
+      }
+    };
+    return callbacks;
+  }
+
+  mutable std::mutex mMutex;
+  std::condition_variable mResumed;
+  bool mPaused = false;
+  VmState mState;
+  std::map<std::string, int> mDeaths;
+  std::size_t mHeld = 0;
+  std::uint64_t mForgottenUpTo = 0;
+  EvidenceView mEvidence;
+  double mAnswers = 0;
+  std::unique_ptr<Membership> mMembership;
+  std::string mAddress;
+};
+
+struct TestFleet
+{
+  FakeKeyValueStore mStore;
+  std::vector<std::unique_ptr<TestVm>> mVms;
+
+  explicit TestFleet(std::size_t aSize, std::size_t aDomains = 4)
+  {
+    for (std::size_t index = 0; index < aSize; ++index) {
+      mVms.push_back(
+        std::make_unique<TestVm>(mStore,
+                                 "vm-" + std::to_string(index),
+                                 "domain-" + std::to_string(index % aDomains)));
+    }
+  }
+
+  bool AllKnow(std::size_t aLive) const
+  {
+    return std::all_of(mVms.begin(), mVms.end(), [aLive](const auto& aVm) {
+      return aVm->Part().LiveCount() == aLive;
+    });
+  }
+};
+
+std::vector<BillEntry> Entries(std::uint64_t aUpTo)
+{
+  std::vector<BillEntry> entries;
+  for (std::uint64_t number = 1; number <= aUpTo; ++number) {
+    BillEntry entry;
+    entry.mIncarnation = { "vm-0", "1" };
+    entry.mNumber = number;
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+} // namespace
+
+TEST_GROUP(Membership){};
+
+TEST(Membership, VmsFindEachOtherThroughTheStore)
+{
+  TestFleet fleet(5);
+  CHECK(Eventually([&] { return fleet.AllKnow(5); }));
+}
+
+TEST(Membership, AStoreThatIsDownAfterTheStartDoesNoHarm)
+{
+  TestFleet fleet(3);
+  CHECK(Eventually([&] { return fleet.AllKnow(3); }));
+  fleet.mStore.SetDown(true);
+  fleet.mVms[0]->Change([](VmState& aState) { aState.mDraining = true; });
+  CHECK(Eventually([&] {
+    for (const Member& member : fleet.mVms[2]->Part().Members()) {
+      if (member.mState.mName == "vm-0" && member.mState.mDraining) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  CHECK(fleet.AllKnow(3));
+  fleet.mStore.SetDown(false);
+}
+
+TEST(Membership, NewerSettingsReachEveryVm)
+{
+  TestFleet fleet(6);
+  CHECK(Eventually([&] { return fleet.AllKnow(6); }));
+  for (const std::int64_t generation : { 4, 5, 9 }) {
+    fleet.mVms[2]->Change([generation](VmState& aState) {
+      aState.mSettingsGeneration = generation;
+    });
+    CHECK(Eventually([&] {
+      return std::all_of(
+        fleet.mVms.begin(), fleet.mVms.end(), [&](const auto& aVm) {
+          return aVm->State().mSettingsGeneration == generation;
+        });
+    }));
+  }
+}
+
+TEST(Membership, APausedVmIsReportedDeadOnceAndComesBack)
+{
+  TestFleet fleet(4);
+  CHECK(Eventually([&] { return fleet.AllKnow(4); }));
+  for (int flap = 0; flap < 2; ++flap) {
+    fleet.mVms[3]->Pause();
+    CHECK(Eventually([&] {
+      return fleet.mVms[0]->HealthOf("vm-3") == VmHealth::Dead &&
+             fleet.mVms[0]->Deaths("vm-3") == 1;
+    }));
+    fleet.mVms[3]->Resume();
+    CHECK(Eventually([&] { return fleet.AllKnow(4); }));
+  }
+  LONGS_EQUAL(1, fleet.mVms[0]->Deaths("vm-3"));
+  LONGS_EQUAL(0, fleet.mVms[3]->Deaths("vm-0"));
+}
+
+TEST(Membership, AVmThatStopsIsGoneAtOnceAndItsNextLifeIsNew)
+{
+  TestFleet fleet(3);
+  CHECK(Eventually([&] { return fleet.AllKnow(3); }));
+  fleet.mVms[2]->Stop();
+  fleet.mVms.pop_back();
+  CHECK(Eventually([&] { return fleet.AllKnow(2); }));
+  CHECK(!fleet.mStore.Store().mRead("vms/vm-2")->has_value());
+  fleet.mVms.push_back(
+    std::make_unique<TestVm>(fleet.mStore, "vm-2", "domain-2", "2"));
+  CHECK(Eventually([&] { return fleet.AllKnow(3); }));
+}
+
+TEST(Membership, EvidenceReachesTheOthersAndIsNeverCountedTwice)
+{
+  constexpr int kPieces = 20;
+  TestFleet fleet(5);
+  CHECK(Eventually([&] { return fleet.AllKnow(5); }));
+  for (int piece = 1; piece <= kPieces; ++piece) {
+    fleet.mVms[1]->AddEvidence(1);
+    CHECK(Eventually([&] { return !fleet.mVms[1]->HasEvidence(); }));
+  }
+  for (const std::size_t vm : { 0, 2, 3, 4 }) {
+    // NOTE: Evidence is a sample; a piece may be missed here and there.
+    CHECK(
+      Eventually([&] { return fleet.mVms[vm]->Answers() >= kPieces * 0.6; }));
+  }
+  fleet.mVms[1]->AddEvidence(100);
+  CHECK(Eventually([&] { return fleet.mVms[0]->Answers() >= 100; }));
+  for (const auto& vm : fleet.mVms) {
+    CHECK(vm->Answers() <= 100 + kPieces);
+  }
+  DOUBLES_EQUAL(0, fleet.mVms[1]->Answers(), 1e-9);
+}
+
+TEST(Membership, EntriesAreHeldInTwoOtherFailureDomainsAndForgotten)
+{
+  TestFleet fleet(6, 3);
+  CHECK(Eventually([&] { return fleet.AllKnow(6); }));
+  LONGS_EQUAL(2, fleet.mVms[0]->Part().Replicate(Entries(3)));
+  // VM 3 shares the failure domain of VM 0.
+  LONGS_EQUAL(0, fleet.mVms[0]->Held());
+  LONGS_EQUAL(0, fleet.mVms[3]->Held());
+  LONGS_EQUAL(3, fleet.mVms[1]->Held() + fleet.mVms[4]->Held());
+  LONGS_EQUAL(3, fleet.mVms[2]->Held() + fleet.mVms[5]->Held());
+  fleet.mVms[0]->Part().TellForget({ "vm-0", "1" }, 3);
+  CHECK(Eventually([&] {
+    return fleet.mVms[1]->ForgottenUpTo() + fleet.mVms[4]->ForgottenUpTo() ==
+             3 &&
+           fleet.mVms[2]->ForgottenUpTo() + fleet.mVms[5]->ForgottenUpTo() == 3;
+  }));
+}
+
+TEST(Membership, AHolderThatIsGoneIsReplacedByAnotherInItsDomain)
+{
+  TestFleet fleet(6, 3);
+  CHECK(Eventually([&] { return fleet.AllKnow(6); }));
+  fleet.mVms[1]->Stop();
+  LONGS_EQUAL(2, fleet.mVms[0]->Part().Replicate(Entries(1)));
+  LONGS_EQUAL(1, fleet.mVms[4]->Held());
+  fleet.mVms.erase(fleet.mVms.begin() + 1);
+}
+
+TEST(Membership, AVmAloneHoldsNothing)
+{
+  TestFleet fleet(1);
+  LONGS_EQUAL(0, fleet.mVms[0]->Part().Replicate(Entries(1)));
+}
+
+TEST(Membership, CallsAfterTheStopFailAtOnce)
+{
+  FakeKeyValueStore store;
+  MembershipOptions options;
+  options.mListenAddress = "127.0.0.1:0";
+  options.mSelf.mName = "vm";
+  Membership membership(options, {}, store.Store(), 1);
+  CHECK(membership.Start().has_value());
+  membership.Stop();
+  LONGS_EQUAL(0, membership.Replicate(Entries(1)));
+  membership.TellForget({ "vm-0", "1" }, 1);
+}
+
+TEST(Membership, AnAddressInUseIsAnError)
+{
+  FakeKeyValueStore store;
+  MembershipOptions options;
+  options.mListenAddress = "127.0.0.1:0";
+  options.mSelf.mName = "first";
+  Membership first(options, {}, store.Store(), 1);
+  options.mListenAddress = *first.Start();
+  Membership second(options, {}, store.Store(), 2);
+  CHECK(!second.Start().has_value());
+}
--- a/Tests/LibMembership/TestPacing.cpp
+++ b/Tests/LibMembership/TestPacing.cpp
@@ -35,14 +35,18 @@
     TableFleet fleet(size);
     EvidenceRumours rumours;
     std::int64_t bytes = 0;
+    // Stands for the evidence of all VMs, each told kEvidenceTells times.
+    const int perVm = kEvidenceTells * static_cast<int>(size);
     const RoundPlan plan = PlanRound(options, size);
     const auto rounds =
       static_cast<int>(std::chrono::seconds(60) / plan.mPeriod);
-    const int perRumour =
-      static_cast<int>(EvidencePeriod(options, size) / plan.mPeriod);
+    Duration sinceEvidence{};
+    std::size_t evidenceBytes = 0;
     for (int round = 0; round < rounds; ++round) {
-      if (round % std::max(perRumour, 1) == 0) {
-        AddOwnEvidence(rumours, 1, ManyCells(6), TellTimes(size));
+      sinceEvidence += plan.mPeriod;
+      if (sinceEvidence >= EvidencePeriod(options, size, evidenceBytes)) {
+        sinceEvidence = {};
+        evidenceBytes = AddOwnEvidence(rumours, 1, ManyCells(6), perVm);
       }
       // NOTE: Requests and, on average, as many answers.
       for (std::size_t message = 0; message < 2 * plan.mFanOut; ++message) {
@@ -61,6 +65,12 @@
       }
       BeatSelf(fleet.mTables[0], fleet.mStates[0], false, TimePoint{});
     }
+    printf("%zu bytes/s %f ev period %f\n",
+           size,
+           bytes / 60.0,
+           std::chrono::duration<double>(
+             EvidencePeriod(options, size, evidenceBytes))
+             .count());
     CHECK(bytes <= options.mBytesPerSecond * 60);
   }
 }
