--- a/Libraries/LibRollout/JudgeRollout.cpp
+++ b/Libraries/LibRollout/JudgeRollout.cpp
@@ -1,6 +1,7 @@
 #include <Acaciavale/LibRollout/RolloutProgress.h>
 
 #include "BinomialTest.h"
+#include "EvidenceDifference.h"
 
 #include <algorithm>
 #include <cmath>
@@ -153,21 +154,6 @@
   return doubtful || worse ? "The evidence is not clear yet." : "";
 }
 
-EvidenceCell Difference(const EvidenceCell& aLater,
-                        const EvidenceCell& aEarlier)
-{
-  const auto rise = [](double aTo, double aFrom) {
-    return std::max(0.0, aTo - aFrom);
-  };
-  EvidenceCell cell;
-  cell.mRated = rise(aLater.mRated, aEarlier.mRated);
-  cell.mGood = std::min(cell.mRated, rise(aLater.mGood, aEarlier.mGood));
-  cell.mAnswers = rise(aLater.mAnswers, aEarlier.mAnswers);
-  cell.mErrors =
-    std::min(cell.mAnswers, rise(aLater.mErrors, aEarlier.mErrors));
-  return cell;
-}
-
 bool IsAlarm(const std::vector<double>& aDetectors)
 {
   return !aDetectors.empty() &&
@@ -197,7 +183,7 @@
                           const EvidenceCell& aOld,
                           const EvidenceCell& aNew)
 {
-  const EvidenceCell batch = Difference(aNew, aWatch.mSeenNew);
+  const EvidenceCell batch = EvidenceDifference(aNew, aWatch.mSeenNew);
   aWatch.mSeenOld = aOld;
   aWatch.mSeenNew = aNew;
   if (batch.mAnswers > 0) {
--- a/include/Acaciavale/LibRollout/RolloutProgress.h
+++ b/include/Acaciavale/LibRollout/RolloutProgress.h
@@ -28,7 +28,9 @@
   std::size_t mStep = 0;
   std::uint64_t mFence = 0; ///< Rises with each new holder; goes with orders.
   std::string mHolder;
-  EvidenceCell mBaseline; ///< Evidence at the start of the step.
+  /// Evidence on the old version at the start of the step, and on the new one,
+  /// as its holder had summed it up.
+  EvidenceCell mBaseline;
   EvidenceCell mCandidate;
   std::string mReason; ///< Why it stands where it stands.
 
