Share limits over VMs by epochs under compare-and-swap

Cause: limits per account must hold over the deployment while VMs cannot talk. Change: an epoch record grants each VM a share and a floor; a VM that cannot confirm the epoch falls to its floor; growth and new floors wait until the others' epochs have lapsed. A property test steps 12 VMs that join, crash, come back and are cut off, 60 seeds of 1500 ticks.

--- a/Libraries/LibRollout/PlanRolloutStep.cpp
+++ b/Libraries/LibRollout/PlanRolloutStep.cpp
@@ -174,7 +174,7 @@
 
 RolloutDecision Judge(const RolloutQuery& aQuery, const RolloutWatch& aWatch)
 {
-  const RolloutDecision turned = JudgeWatch(aQuery.mSettings, aWatch);
+  RolloutDecision turned = JudgeWatch(aQuery.mSettings, aWatch);
   if (turned.mVerdict == RolloutVerdict::Halt) {
     return turned;
   }
--- /dev/null
+++ b/Tests/LibMembership/TestLimitShares.cpp
@@ -0,0 +1,148 @@
+#include <Acaciavale/LibCore/Random.h>
+#include <Acaciavale/LibMembership/LimitShares.h>
+
+#include <LibPlatform/FakeKeyValueStore.h>
+
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Acaciavale;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kRounding = 1e-9;
+
+LimitOptions OptionsOf(std::size_t aVm)
+{
+  LimitOptions options;
+  options.mVm = "vm-" + std::to_string(aVm);
+  return options;
+}
+
+double Granted(const LimitEpoch& aEpoch)
+{
+  double sum = 0;
+  for (const LimitPart& part : aEpoch.mParts) {
+    sum += std::max(part.mShare, part.mFloor);
+  }
+  return sum;
+}
+
+} // namespace
+
+TEST_GROUP(LimitShares){};
+
+TEST(LimitShares, PartsFollowWeightsAndSumToOne)
+{
+  const LimitEpoch epoch =
+    NextEpoch({}, { { "a", 1 }, { "b", 3 } }, {}, UnixMilliseconds(1));
+  DOUBLES_EQUAL(1, Granted(epoch), kRounding);
+  DOUBLES_EQUAL(3, epoch.mParts[1].mShare / epoch.mParts[0].mShare, 1e-6);
+}
+
+TEST(LimitShares, AMissingVmKeepsItsFloorForADay)
+{
+  const LimitEpoch first =
+    NextEpoch({}, { { "a", 1 }, { "b", 1 } }, {}, UnixMilliseconds(1));
+  const LimitEpoch second =
+    NextEpoch(first, { { "a", 1 } }, {}, UnixMilliseconds(1000));
+  DOUBLES_EQUAL(first.mParts[1].mFloor, second.mParts[1].mFloor, kRounding);
+  DOUBLES_EQUAL(1 - first.mParts[1].mFloor, second.mParts[0].mShare, 1e-6);
+  const LimitEpoch third =
+    NextEpoch(second, { { "a", 1 } }, {}, UnixMilliseconds(90'000'000));
+  LONGS_EQUAL(1, third.mParts.size());
+  DOUBLES_EQUAL(1, third.mParts[0].mShare, kRounding);
+}
+
+/// VMs join, crash, come back and are cut off from the store in any order;
+/// epochs are written by whoever sees the store. At no moment do the parts that
+/// VMs use sum to more than 1.
+TEST(LimitShares, PartsInUseNeverSumToMoreThanOne)
+{
+  constexpr std::size_t kVms = 12;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Random random(seed);
+    TimePoint now{};
+    UnixMilliseconds calendar(1);
+    LimitEpoch record;
+    std::map<std::size_t, LimitKnowledge> running;
+    std::map<std::size_t, bool> cut;
+    double highest = 0;
+    for (int tick = 0; tick < 1500; ++tick) {
+      now += 1s;
+      calendar += 1s;
+      const std::size_t vm = random.Below(kVms);
+      switch (random.Below(24)) {
+        case 0:
+          running.emplace(vm, LimitKnowledge{});
+          break;
+        case 1:
+          running.erase(vm);
+          break;
+        case 2:
+          cut[vm] = !cut[vm];
+          break;
+        case 3: {
+          std::vector<LimitMember> live;
+          for (const auto& [index, knowledge] : running) {
+            if (!cut[index]) {
+              live.push_back({ OptionsOf(index).mVm,
+                               static_cast<std::int64_t>(1 + index % 3) });
+            }
+          }
+          record = NextEpoch(record, live, OptionsOf(vm), calendar);
+          break;
+        }
+        default:
+          break;
+      }
+      double used = 0;
+      for (auto& [index, knowledge] : running) {
+        const LimitOptions options = OptionsOf(index);
+        if (!cut[index] && random.Below(5) == 0) {
+          knowledge = TakeEpoch(knowledge, record, options, now, now);
+        }
+        used += LimitShareNow(knowledge, options, now);
+      }
+      highest = std::max(highest, used);
+      CHECK(used <= 1 + kRounding);
+    }
+    CHECK(highest > 0.5);
+  }
+}
+
+TEST(LimitShares, AVmThatCannotConfirmFallsToItsFloor)
+{
+  const LimitOptions options = OptionsOf(1);
+  const LimitEpoch epoch =
+    NextEpoch({}, { { "vm-1", 1 } }, options, UnixMilliseconds(1));
+  const TimePoint start{};
+  LimitKnowledge knowledge = TakeEpoch({}, epoch, options, start, start);
+  const TimePoint later = start + 30s;
+  knowledge = TakeEpoch(knowledge, epoch, options, later, later);
+  DOUBLES_EQUAL(1, LimitShareNow(knowledge, options, later), kRounding);
+  DOUBLES_EQUAL(
+    0.8 / 16, LimitShareNow(knowledge, options, later + 1min), kRounding);
+}
+
+TEST(LimitShares, TheFirstVmWritesTheEpochAndALeaverGivesItsPartBack)
+{
+  FakeKeyValueStore store;
+  LimitShares first(OptionsOf(1), store.Store(), 1);
+  LimitShares second(OptionsOf(2), store.Store(), 2);
+  const std::vector<LimitMember> live{ { "vm-1", 1 }, { "vm-2", 1 } };
+  second.Step(live);
+  DOUBLES_EQUAL(0, second.Share(), kRounding);
+  first.Step(live);
+  second.Step(live);
+  CHECK(second.Share() > 0);
+  second.Leave();
+  DOUBLES_EQUAL(0, second.Share(), kRounding);
+  const auto record = store.Store().mRead("limits/epoch");
+  const auto epoch = ParseLimitEpoch((*record)->mValue);
+  LONGS_EQUAL(1, epoch->mParts.size());
+  CHECK(!ParseLimitEpoch("{\"epoch\":1}"));
+}
