Report on service-level burn

Cause: operators need to see which account and model spends its error budget, how fast and until when, also after VMs were replaced.

--- /dev/null
+++ b/Libraries/LibReport/SloCounters.cpp
@@ -0,0 +1,136 @@
+#include <Acaciavale/LibReport/SloCounters.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr std::size_t kShards = 16;
+/// Accounts and models counted apart, so that the record of a VM stays below
+/// the megabyte that the store takes.
+constexpr int kMaxCells = 100;
+constexpr const char* kOther = "other";
+
+using Name = std::pair<std::string, std::string>;
+
+struct Shard
+{
+  std::mutex mMutex;
+  std::map<Name, std::vector<SloBucket>> mCells;
+};
+
+constexpr UnixMilliseconds kFineWidth = std::chrono::minutes(5);
+
+UnixMilliseconds StartOf(UnixMilliseconds aTime, UnixMilliseconds aWidth)
+{
+  return aTime - aTime % aWidth;
+}
+
+/// The bucket for now. Events come nearly in order, so it is the last one or a
+/// new one; one that comes late goes into the last.
+SloBucket& BucketNow(std::vector<SloBucket>& aBuckets, UnixMilliseconds aNow)
+{
+  const UnixMilliseconds start = StartOf(aNow, kFineWidth);
+  if (aBuckets.empty() || aBuckets.back().mStart < start) {
+    aBuckets = Coarsened(aBuckets, aNow);
+    aBuckets.push_back({ start, kFineWidth, {} });
+  }
+  return aBuckets.back();
+}
+
+void Add(SloBucket& aBucket, SloKind aKind, bool aGood)
+{
+  SloTally& tally = aBucket.mTallies[static_cast<std::size_t>(aKind)];
+  ++tally.mTotal;
+  tally.mGood += aGood ? 1 : 0;
+}
+
+} // namespace
+
+struct SloCounters::Private
+{
+  std::array<Shard, kShards> mShards;
+  std::atomic<int> mCells{ 0 };
+
+  Shard& ShardOf(const Name& aName)
+  {
+    const std::hash<std::string> hash;
+    return mShards[(hash(aName.first) * 31 + hash(aName.second)) % kShards];
+  }
+
+  /// Whether one more cell may be counted apart; takes it then.
+  bool TakeCell()
+  {
+    // NOTE: The reading first keeps the counter from growing without bound.
+    return mCells.load() < kMaxCells && mCells.fetch_add(1) < kMaxCells;
+  }
+
+  /// Runs a change on the bucket for now, under the lock of its shard.
+  template<typename Change>
+  void With(const Name& aName, UnixMilliseconds aNow, Change aChange)
+  {
+    Shard& shard = ShardOf(aName);
+    const std::lock_guard lock(shard.mMutex);
+    const bool isKnown = shard.mCells.contains(aName);
+    const bool isCounted = isKnown || TakeCell();
+    const Name name = isCounted ? aName : Name{ kOther, kOther };
+    aChange(BucketNow(shard.mCells[name], aNow));
+  }
+};
+
+SloCounters::SloCounters()
+  : mPrivate(std::make_unique<Private>())
+{
+}
+
+SloCounters::~SloCounters() = default;
+
+void SloCounters::Record(const ObjectiveSettings& aObjective,
+                         const SloSample& aSample,
+                         UnixMilliseconds aNow)
+{
+  mPrivate->With(
+    { aSample.mAccount, aSample.mModel }, aNow, [&](SloBucket& aBucket) {
+      Add(aBucket, SloKind::Availability, aSample.mAnswered);
+      if (aSample.mFirstToken) {
+        Add(aBucket,
+            SloKind::FirstToken,
+            *aSample.mFirstToken <= aObjective.mFirstToken);
+      }
+      if (aSample.mBetweenTokens) {
+        Add(aBucket,
+            SloKind::BetweenTokens,
+            *aSample.mBetweenTokens <= aObjective.mBetweenTokens);
+      }
+    });
+}
+
+void SloCounters::RecordRating(const std::string& aAccount,
+                               const std::string& aModel,
+                               bool aGood,
+                               UnixMilliseconds aNow)
+{
+  mPrivate->With({ aAccount, aModel }, aNow, [&](SloBucket& aBucket) {
+    Add(aBucket, SloKind::Quality, aGood);
+  });
+}
+
+std::vector<SloCell> SloCounters::Cells(UnixMilliseconds aNow)
+{
+  std::vector<std::vector<SloCell>> parts(1);
+  for (Shard& shard : mPrivate->mShards) {
+    const std::lock_guard lock(shard.mMutex);
+    for (auto& [name, buckets] : shard.mCells) {
+      buckets = Coarsened(buckets, aNow);
+      parts[0].push_back({ name.first, name.second, buckets });
+    }
+  }
+  // NOTE: "other" may stand in several shards; merging makes it one cell.
+  return Merged(parts);
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibReport/SloStore.cpp
@@ -0,0 +1,50 @@
+#include <Acaciavale/LibReport/SloStore.h>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr const char* kPrefix = "slo/";
+constexpr int kMaxAttempts = 2;
+
+} // namespace
+
+ErrorOr<std::int64_t> StoreSlo(const KeyValueStore& aStore,
+                               const SloRecordKey& aKey,
+                               const std::vector<SloCell>& aCells)
+{
+  const std::string key = kPrefix + aKey.mVm + "/" + aKey.mIncarnation;
+  const std::string value = SerialiseCells(aCells);
+  std::int64_t revision = aKey.mRevision;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    auto written = WriteResolved(aStore, { key, value, revision, 0 });
+    if (written || written.error().mCode != ErrorCode::Conflict) {
+      return written;
+    }
+    // NOTE: Nobody else writes this key, so the conflict is with an earlier
+    //       write of ours whose answer was lost.
+    const auto present = ACACIAVALE_TRY(aStore.mRead(key));
+    revision = present ? present->mRevision : 0;
+  }
+  return MakeError(ErrorCode::Conflict, "The counters' record keeps changing.");
+}
+
+ErrorOr<FleetSlo> FetchSlo(const KeyValueStore& aStore)
+{
+  const auto entries = ACACIAVALE_TRY(aStore.mList(kPrefix));
+  FleetSlo fleet;
+  std::vector<std::vector<SloCell>> parts;
+  for (const KeyValueEntry& entry : entries) {
+    auto cells = ParseCells(entry.mValue);
+    if (cells) {
+      parts.push_back(std::move(*cells));
+      ++fleet.mRecords;
+    } else {
+      fleet.mUnreadable.push_back(entry.mKey);
+    }
+  }
+  fleet.mCells = Merged(parts);
+  return fleet;
+}
+
+} // namespace Acaciavale
--- a/Programs/acaciavale/Commands.cpp
+++ b/Programs/acaciavale/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Command.h"
 
+#include "ReportCommand.h"
 #include "RolloutCommand.h"
 #include "SettingsCommand.h"
 #include "VersionCommand.h"
@@ -9,9 +10,9 @@
 // Declared here and defined each in the file of its command.
 const std::vector<Command>& Commands()
 {
-  static const std::vector<Command> sCommands{ SettingsCommand(),
-                                               VersionCommand(),
-                                               RolloutCommand() };
+  static const std::vector<Command> sCommands{
+    SettingsCommand(), VersionCommand(), RolloutCommand(), ReportCommand()
+  };
   return sCommands;
 }
 
