Read trees of settings in linear time

Cause: reading asked each section whether any other inherits from it. Change: the groups are worked out once.

--- a/Libraries/LibSettings/CrossChecks.cpp
+++ b/Libraries/LibSettings/CrossChecks.cpp
@@ -80,10 +80,11 @@
 
 void CheckRequired(Checking& aChecking)
 {
+  const std::set<SectionName> groups = GroupsOf(aChecking.mTree);
   for (const auto& [name, section] : aChecking.mTree.mSections) {
     const bool isDefaults =
       name.mPath.empty() && name.mKind != SectionKind::Deployment;
-    if (isDefaults || IsGroup(aChecking.mTree, name)) {
+    if (isDefaults || groups.contains(name)) {
       continue;
     }
     for (const SettingRow& row : RowsOf(name.mKind)) {
--- a/Libraries/LibSettings/EffectiveSettings.cpp
+++ b/Libraries/LibSettings/EffectiveSettings.cpp
@@ -214,9 +214,10 @@
 std::vector<const TreeSection*> LeavesOf(const SettingsTree& aTree,
                                          SectionKind aKind)
 {
+  const std::set<SectionName> groups = GroupsOf(aTree);
   std::vector<const TreeSection*> leaves;
   for (const auto& [name, section] : aTree.mSections) {
-    if (name.mKind == aKind && !name.mPath.empty() && !IsGroup(aTree, name)) {
+    if (name.mKind == aKind && !name.mPath.empty() && !groups.contains(name)) {
       leaves.push_back(&section);
     }
   }
--- a/Libraries/LibSettings/SettingsTree.cpp
+++ b/Libraries/LibSettings/SettingsTree.cpp
@@ -98,13 +98,16 @@
   return ancestors;
 }
 
-bool IsGroup(const SettingsTree& aTree, const SectionName& aName)
+std::set<SectionName> GroupsOf(const SettingsTree& aTree)
 {
-  return std::any_of(
-    aTree.mSections.begin(), aTree.mSections.end(), [&](const auto& aOther) {
-      return aOther.first.mKind == aName.mKind && aOther.first != aName &&
-             ParentOf(aTree, aOther.first) == aName;
-    });
+  std::set<SectionName> groups;
+  for (const auto& [name, section] : aTree.mSections) {
+    const auto parent = ParentOf(aTree, name);
+    if (parent && parent->mKind == name.mKind) {
+      groups.insert(*parent);
+    }
+  }
+  return groups;
 }
 
 EffectiveValue Effective(const SettingsTree& aTree,
--- a/Tests/LibSettings/TestStore.cpp
+++ b/Tests/LibSettings/TestStore.cpp
@@ -201,3 +201,14 @@
   STRCMP_CONTAINS("1 of 3 VMs have generation 1", StatusText(status).c_str());
   STRCMP_CONTAINS("\"behind\"", StatusJson(status).c_str());
 }
+
+TEST(Store, AnApplyCostsOneReadAndThreeWrites)
+{
+  CHECK(Apply(mStore, Request(0, "first")).has_value());
+  const FakeStoreCounts before = mFake.Counts();
+  ApplyRequest request = Request(1, "second");
+  request.mFiles[0].mText += "; another body\n";
+  CHECK(Apply(mStore, request).has_value());
+  LONGS_EQUAL(1, mFake.Counts().mReads - before.mReads);
+  LONGS_EQUAL(3, mFake.Counts().mWrites - before.mWrites);
+}
--- a/include/Acaciavale/LibSettings/SettingsTree.h
+++ b/include/Acaciavale/LibSettings/SettingsTree.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,8 +91,8 @@
 std::vector<SectionName> AncestorsOf(const SettingsTree& aTree,
                                      const SectionName& aName);
 
-/// Whether other sections of the same kind inherit from this one.
-bool IsGroup(const SettingsTree& aTree, const SectionName& aName);
+/// The sections that others of the same kind inherit from.
+std::set<SectionName> GroupsOf(const SettingsTree& aTree);
 
 /// The value in force, with where it was set and what it overrode.
 EffectiveValue Effective(const SettingsTree& aTree,
