--- a/Programs/acaciavale/Commands.cpp
+++ b/Programs/acaciavale/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Command.h"
 
+#include "ReportCommand.h"
 #include "RolloutCommand.h"
 #include "ServeCommand.h"
 #include "SettingsCommand.h"
@@ -10,9 +11,11 @@
 // Declared here and defined each in the file of its command.
 const std::vector<Command>& Commands()
 {
-  static const std::vector<Command> sCommands{
-    ServeCommand(), SettingsCommand(), VersionCommand(), RolloutCommand()
-  };
+  static const std::vector<Command> sCommands{ ServeCommand(),
+                                               SettingsCommand(),
+                                               VersionCommand(),
+                                               RolloutCommand(),
+                                               ReportCommand() };
   return sCommands;
 }
 
