Keep whole endpoints free of long work

Cause: look-ups met replicas that drafts had filled since the last report. Change: ReservedEndpoints marks the same few endpoints on every VM; long work takes them only after a wait elsewhere. EndpointQuery::mReservedShare gives way to mAvoidsReserved, EndpointView has mReserved.

--- a/Benchmarks/DecisionMeasureParts/RouterFake.cpp
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.cpp
@@ -17,15 +17,19 @@
     std::chrono::duration<double>(aSeconds));
 }
 
+std::uint64_t KeyOf(const PoolScenario& aScenario, std::uint32_t aReplica)
+{
+  return RendezvousRank(aScenario.mSeed, aReplica);
+}
+
 std::vector<std::uint32_t> SubsetOf(const PoolScenario& aScenario,
                                     std::uint32_t aVm,
                                     std::uint32_t aDomain)
 {
   std::vector<SubsetMember> members;
   for (std::uint32_t replica = 0; replica < aScenario.mReplicas; ++replica) {
-    members.push_back({ replica,
-                        RendezvousRank(aScenario.mSeed, replica),
-                        replica % aScenario.mDomains });
+    members.push_back(
+      { replica, KeyOf(aScenario, replica), replica % aScenario.mDomains });
   }
   return ChooseSubset(aVm + 1, aDomain, members);
 }
@@ -46,10 +50,17 @@
   , mPositions(aScenario.mReplicas, -1)
   , mNext(mRandom.Below(aScenario.mReplicas))
 {
+  std::vector<std::uint64_t> keys;
+  for (std::uint32_t replica = 0; replica < aScenario.mReplicas; ++replica) {
+    keys.push_back(KeyOf(aScenario, replica));
+  }
+  const std::vector<bool> reserved =
+    ReservedEndpoints(keys, ReservedShare(Priority::Batch));
   for (const std::uint32_t replica : SubsetOf(aScenario, aVm, aDomain)) {
     EndpointView view;
     view.mIndex = replica;
     view.mFailureDomain = replica % aScenario.mDomains;
+    view.mReserved = reserved[replica];
     view.mSlots = static_cast<std::int32_t>(aScenario.mSlots);
     mPositions[replica] = static_cast<std::int32_t>(mViews.size());
     mViews.push_back(view);
@@ -90,7 +101,7 @@
     query.mPrefillSeconds = mScenario.mPrefillSeconds;
     query.mPrefixHash = aDispatch.mPrefixHash;
   }
-  query.mReservedShare = ReservedShare(aDispatch.mPriority);
+  query.mAvoidsReserved = aDispatch.mPriority == Priority::Batch;
   return ChooseEndpoint(mViews, query, mRandom).mIndex;
 }
 
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -10,6 +10,9 @@
 constexpr double kUnknownSecondsPerRequest = 1;
 /// Wait in turnovers at an endpoint whose slots all seem just taken.
 constexpr double kFullRisk = 0.1;
+/// Wait in turnovers that long work accepts elsewhere before it takes a
+/// reserved endpoint.
+constexpr double kReservedWait = 1;
 /// How much longer than the best the session's own endpoint may take.
 constexpr double kPreferredSlack = 1.25;
 
@@ -57,13 +60,15 @@
   const double seconds = aEndpoint.mSecondsPerRequest > 0
                            ? aEndpoint.mSecondsPerRequest
                            : aUsualSeconds;
-  const double slots =
-    std::max(1.0, aEndpoint.mSlots * (1 - aQuery.mReservedShare));
+  const double slots = std::max(1, aEndpoint.mSlots);
   const double turnover =
     aEndpoint.mTurnoverSeconds > 0 ? aEndpoint.mTurnoverSeconds : seconds;
   const double load =
     (EstimatedInFlight(aEndpoint, aQuery, turnover) + 1) / slots;
   double score = seconds + turnover * WaitingShare(load);
+  if (aEndpoint.mReserved && aQuery.mAvoidsReserved) {
+    score += turnover * kReservedWait;
+  }
   score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
   if (aEndpoint.mFailureDomain != aQuery.mFailureDomain) {
     score += aQuery.mCrossDomainSeconds;
--- a/Libraries/LibRouting/EndpointSubset.cpp
+++ b/Libraries/LibRouting/EndpointSubset.cpp
@@ -2,11 +2,14 @@
 #include <Acaciavale/LibRouting/EndpointSubset.h>
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 
 namespace Acaciavale {
 
 namespace {
 
+constexpr std::uint64_t kReservedKey = 0x5265736572766564ULL;
 constexpr std::uint64_t kMixingMultiplier = 0xff51afd7ed558ccdULL;
 
 struct Ranked
@@ -60,4 +63,28 @@
   return subset;
 }
 
+std::vector<bool> ReservedEndpoints(
+  const std::vector<std::uint64_t>& aEndpointKeys,
+  double aShare)
+{
+  std::vector<bool> reserved(aEndpointKeys.size(), false);
+  if (aEndpointKeys.size() < 2 || aShare <= 0) {
+    return reserved;
+  }
+  std::vector<Ranked> ranked;
+  ranked.reserve(aEndpointKeys.size());
+  for (std::uint32_t index = 0; index < aEndpointKeys.size(); ++index) {
+    ranked.push_back(
+      { RendezvousRank(kReservedKey, aEndpointKeys[index]), index });
+  }
+  const double count =
+    std::ceil(std::min(1.0, aShare) * static_cast<double>(ranked.size()));
+  KeepBest(ranked,
+           std::min(static_cast<std::size_t>(count), ranked.size() - 1));
+  for (const Ranked& kept : ranked) {
+    reserved[kept.mIndex] = true;
+  }
+  return reserved;
+}
+
 } // namespace Acaciavale
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -19,6 +19,9 @@
   std::uint32_t mFailureDomain = 0;
   bool mLeaving = false;
   bool mEjected = false;
+  /// Kept free of long work, so that urgent work finds a slot at once whatever
+  /// the reports say. See ReservedEndpoints.
+  bool mReserved = false;
   std::int32_t mOwnInFlight = 0;      ///< This VM's requests there, right now.
   std::int32_t mReportedInFlight = 0; ///< Everybody's, as last reported.
   std::int32_t mOwnInFlightAtReport = 0; ///< This VM's, when that was reported.
@@ -47,9 +50,8 @@
   /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
   /// it on are then tried in an order that all VMs share.
   std::uint64_t mPrefixHash = 0;
-  /// Share of each endpoint's slots that this request leaves to more urgent
-  /// ones.
-  double mReservedShare = 0;
+  /// Whether this is long work that leaves the reserved endpoints to others.
+  bool mAvoidsReserved = false;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
--- a/include/Acaciavale/LibRouting/EndpointSubset.h
+++ b/include/Acaciavale/LibRouting/EndpointSubset.h
@@ -28,6 +28,13 @@
   const std::vector<SubsetMember>& aMembers,
   std::size_t aSize = kSubsetSize);
 
+/// Marks the endpoints of a pool, by their keys in the order given, that are
+/// kept free of long work: aShare of them, at least one, never the only one.
+/// The same on all VMs that list the same endpoints.
+std::vector<bool> ReservedEndpoints(
+  const std::vector<std::uint64_t>& aEndpointKeys,
+  double aShare);
+
 /// Rank of an endpoint for a key; the highest is the key's home.
 std::uint64_t RendezvousRank(std::uint64_t aKey, std::uint64_t aEndpointKey);
 
