Suspect failing endpoints sooner and refuse later

Change: retries leave failure domains where an attempt failed; the last failure weighs for two seconds; longer ejections with one trial at a time after them; pool estimates without the others' supposed growth; desk work may queue.

--- a/Benchmarks/DecisionMeasureParts/LoadRows.cpp
+++ b/Benchmarks/DecisionMeasureParts/LoadRows.cpp
@@ -88,6 +88,7 @@
   work.mDeadlineSeconds = 4;
   scenario.mClasses = { work };
   double goodput = 0;
+  std::vector<double> latencies;
   double amplification = 0;
   for (const std::uint64_t seed : kSeeds) {
     scenario.mSeed = seed;
@@ -95,6 +96,7 @@
     const double seconds = scenario.mSeconds - scenario.mWarmUpSeconds;
     const double capacity = aSize.mReplicas * scenario.mSlots * seconds;
     goodput += result.mGoodWork / capacity / kSeeds.size();
+    Append(latencies, result.mClasses[0].mLatencies);
     amplification +=
       result.mDispatches / std::max(1.0, result.mAdmitted) / kSeeds.size();
   }
@@ -105,6 +107,10 @@
               goodput,
               isOurs ? Bound::AtLeast : Bound::None,
               0.95);
+  PrintFigure("overload",
+              aSize.mName,
+              std::string("p99 s of the admitted, ") + aName,
+              Quantile(latencies, 0.99));
   PrintFigure("overload",
               aSize.mName,
               std::string("dispatches / admitted, ") + aName,
--- a/Benchmarks/DecisionMeasureParts/PoolRun.cpp
+++ b/Benchmarks/DecisionMeasureParts/PoolRun.cpp
@@ -17,6 +17,8 @@
 constexpr double kConnectTimeoutSeconds = 0.5;
 constexpr double kSilenceTimeoutSeconds = 1;
 constexpr double kQuickErrorSeconds = 0.005;
+/// Time until the VMs know that the lost domain's VMs are gone.
+constexpr double kMembershipLagSeconds = 5;
 constexpr double kFlapSeconds = 2;
 constexpr std::uint32_t kFaultyReplica = 1;
 constexpr std::uint32_t kLostDomain = 0;
@@ -36,6 +38,7 @@
   CacheSeen,
   Fault,
   ListDropsDomain,
+  MembersSeen,
 };
 
 struct Event
@@ -154,9 +157,7 @@
   for (std::uint32_t vm = 0; vm < aScenario.mVms; ++vm) {
     const std::uint32_t domain = vm % aScenario.mDomains;
     mRouters.push_back(std::make_unique<RouterFake>(aScenario, vm, domain));
-    if (aScenario.mFault != Fault::DomainLost || domain != kLostDomain) {
-      mEntryVms.push_back(vm);
-    }
+    mEntryVms.push_back(vm);
   }
   for (const WorkClass& work : aScenario.mClasses) {
     for (std::uint32_t index = 0; index < work.mAccounts; ++index) {
@@ -187,6 +188,8 @@
   Schedule(0, EventKind::Report);
   if (mScenario.mFault == Fault::DomainLost) {
     Schedule(mScenario.mFaultAt, EventKind::Fault);
+    Schedule(mScenario.mFaultAt + kMembershipLagSeconds,
+             EventKind::MembersSeen);
     Schedule(mScenario.mFaultAt + mScenario.mListLagSeconds,
              EventKind::ListDropsDomain);
   }
@@ -236,6 +239,11 @@
     case EventKind::Fault:
       LoseDomain();
       return;
+    case EventKind::MembersSeen:
+      for (auto& router : mRouters) {
+        router->NoteLiveVms(static_cast<std::uint32_t>(mEntryVms.size()));
+      }
+      return;
     case EventKind::ListDropsDomain:
       for (std::uint32_t index = 0; index < mReplicas.size(); ++index) {
         for (auto& router : mRouters) {
@@ -327,6 +335,7 @@
     if (decision.mVerdict != AdmissionVerdict::Admit) {
       mJobs[index].mDone = true;
       mResult.mRefused += isMeasured ? 1 : 0;
+      mResult.mFailureTimes.push_back(mNow - mScenario.mFaultAt);
       return;
     }
   }
@@ -478,7 +487,11 @@
   std::uint32_t next = 0;
   ReplicaFake& replica = mReplicas[aReplica];
   while (replica.TakeQueued(next)) {
-    if (mJobs[next].mDone || mJobs[next].mReplica != aReplica) {
+    if (mJobs[next].mReplica != aReplica) {
+      continue;
+    }
+    if (mJobs[next].mDone) {
+      replica.Leave(mJobs[next].mVm);
       continue;
     }
     // NOTE: A caller whose deadline passed has gone, and its stream with it.
@@ -504,7 +517,7 @@
 void PoolRun::End(std::uint32_t aJob)
 {
   Job& job = mJobs[aJob];
-  if (job.mDone || IsDown(job.mReplica)) {
+  if (IsDown(job.mReplica)) {
     return;
   }
   ReplicaFake& replica = mReplicas[job.mReplica];
@@ -515,7 +528,9 @@
                                job.mService * job.mNormalService,
                                mNow);
   const std::uint32_t served = job.mReplica;
-  Complete(aJob);
+  if (!job.mDone) {
+    Complete(aJob);
+  }
   StartNext(served);
 }
 
@@ -570,6 +585,14 @@
 void PoolRun::LoseDomain()
 {
   mIsDomainLost = true;
+  // NOTE: The domain's VMs die too, with what they had in hand, whatever the
+  //       policy; their callers go to the others.
+  std::erase_if(mEntryVms, [&](std::uint32_t aVm) {
+    return aVm % mScenario.mDomains == kLostDomain;
+  });
+  for (Job& job : mJobs) {
+    job.mDone = job.mDone || job.mVm % mScenario.mDomains == kLostDomain;
+  }
   for (std::uint32_t index = 0; index < mJobs.size(); ++index) {
     const Job& job = mJobs[index];
     if (!job.mDone && job.mAttempts > 0 && IsDown(job.mReplica)) {
--- a/Benchmarks/DecisionMeasureParts/PoolRun.h
+++ b/Benchmarks/DecisionMeasureParts/PoolRun.h
@@ -93,8 +93,9 @@
   double mGoodWork = 0; ///< Seconds of work in those, per second and slot.
   double mHits = 0;     ///< Dispatches that found their prefix cached.
   double mToFaulty = 0; ///< Dispatches to the faulty replica, after the fault.
-  double mAfterFault = 0;            ///< Dispatches after the fault.
-  std::vector<double> mFailureTimes; ///< Seconds after the fault.
+  double mAfterFault = 0; ///< Dispatches after the fault.
+  std::vector<double>
+    mFailureTimes; ///< Also refusals; seconds after the fault.
 };
 
 PoolResult RunPool(const PoolScenario& aScenario);
--- a/Benchmarks/DecisionMeasureParts/RouterFake.cpp
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.cpp
@@ -46,6 +46,7 @@
                        std::uint32_t aDomain)
   : mScenario(aScenario)
   , mDomain(aDomain)
+  , mLiveVms(aScenario.mVms)
   , mRandom(aScenario.mSeed * kVmStride + aVm)
   , mPositions(aScenario.mReplicas, -1)
   , mNext(mRandom.Below(aScenario.mReplicas))
@@ -79,7 +80,7 @@
     view.mSecondsPerRequest =
       health.mSecondsPerRequest * aDispatch.mClassSeconds;
     view.mTurnoverSeconds = health.mSecondsPerRequest * SecondsOf(mTurnover);
-    view.mErrorShare = ErrorShare(health);
+    view.mErrorShare = ExpectedErrorShare(health, now);
     view.mEjected = IsBlocked(health, view.mOwnInFlight, now);
     view.mPrefixShare = 0;
     if (aDispatch.mCached != nullptr &&
@@ -95,7 +96,7 @@
   Refresh(aDispatch);
   EndpointQuery query;
   query.mFailureDomain = mDomain;
-  query.mLiveVms = mScenario.mVms;
+  query.mLiveVms = mLiveVms;
   query.mExcluded = aDispatch.mTried;
   if (aDispatch.mCached != nullptr) {
     query.mPrefillSeconds = mScenario.mPrefillSeconds;
@@ -173,7 +174,7 @@
   dispatch.mNow = aNow;
   dispatch.mClassSeconds = aClass.mSeconds;
   Refresh(dispatch);
-  const PoolEstimate pool = EstimatePool(mViews, mScenario.mVms);
+  const PoolEstimate pool = EstimatePool(mViews, mLiveVms);
   AdmissionQuery query;
   query.mAccount = aAccount;
   query.mPriority = aClass.mPriority;
--- a/Benchmarks/DecisionMeasureParts/RouterFake.h
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.h
@@ -51,6 +51,7 @@
                   std::int32_t aOwnInFlight,
                   double aTakenAt);
   void NoteLeaving(std::uint32_t aReplica);
+  void NoteLiveVms(std::uint32_t aCount) { mLiveVms = aCount; }
 
   AdmissionControl mAdmission;
   AttemptBudget mRetryBudget;
@@ -63,6 +64,7 @@
 
   const PoolScenario& mScenario;
   std::uint32_t mDomain;
+  std::uint32_t mLiveVms;
   Random mRandom;
   std::vector<EndpointView> mViews; ///< The subset; mIndex is the replica.
   std::vector<EndpointHealth> mHealth;
--- a/Libraries/LibAdmission/AdmissionControl.cpp
+++ b/Libraries/LibAdmission/AdmissionControl.cpp
@@ -17,7 +17,7 @@
 /// Share of the pool's slots up to which a class may fill it. Urgent work may
 /// queue for as long as its deadline lets it.
 constexpr double kBatchFill = 1 - kBatchReservedShare;
-constexpr double kInteractiveFill = 1.1;
+constexpr double kInteractiveFill = 1.5;
 constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
 constexpr Duration kLongestRetry = std::chrono::seconds(60);
 
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -13,15 +13,37 @@
 /// Wait in turnovers that long work accepts elsewhere before it takes a
 /// reserved endpoint.
 constexpr double kReservedWait = 1;
+/// Wait in turnovers that a retry accepts to leave a failure domain in which an
+/// attempt has failed.
+constexpr double kTriedDomainWait = 1;
+/// Wait in turnovers that a failed attempt costs.
+constexpr double kFailureWait = 2;
 /// How much longer than the best the session's own endpoint may take.
 constexpr double kPreferredSlack = 1.25;
 
+/// What is worked out once for all endpoints of a choice.
+struct ChoiceContext
+{
+  double mUsualSeconds = kUnknownSecondsPerRequest;
+  std::uint64_t mTriedDomains = 0; ///< A bit for each failure domain.
+};
+
+std::uint64_t DomainBit(const EndpointView& aEndpoint)
+{
+  return 1ULL << (aEndpoint.mFailureDomain % 64);
+}
+
+bool IsTried(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
+{
+  return std::find(aQuery.mExcluded.begin(),
+                   aQuery.mExcluded.end(),
+                   aEndpoint.mIndex) != aQuery.mExcluded.end();
+}
+
 bool MayTake(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
 {
   return !aEndpoint.mLeaving && !aEndpoint.mEjected &&
-         std::find(aQuery.mExcluded.begin(),
-                   aQuery.mExcluded.end(),
-                   aEndpoint.mIndex) == aQuery.mExcluded.end();
+         (aQuery.mExcluded.empty() || !IsTried(aEndpoint, aQuery));
 }
 
 /// Everybody's requests there now. This VM's own are known. A report on the
@@ -55,20 +77,24 @@
 /// Expected seconds until a request sent there now is served.
 double Score(const EndpointView& aEndpoint,
              const EndpointQuery& aQuery,
-             double aUsualSeconds)
+             const ChoiceContext& aContext)
 {
   const double seconds = aEndpoint.mSecondsPerRequest > 0
                            ? aEndpoint.mSecondsPerRequest
-                           : aUsualSeconds;
+                           : aContext.mUsualSeconds;
   const double slots = std::max(1, aEndpoint.mSlots);
   const double turnover =
     aEndpoint.mTurnoverSeconds > 0 ? aEndpoint.mTurnoverSeconds : seconds;
   const double load =
     (EstimatedInFlight(aEndpoint, aQuery, turnover) + 1) / slots;
   double score = seconds + turnover * WaitingShare(load);
+  score += turnover * kFailureWait * aEndpoint.mErrorShare;
   if (aEndpoint.mReserved && aQuery.mAvoidsReserved) {
     score += turnover * kReservedWait;
   }
+  if ((aContext.mTriedDomains & DomainBit(aEndpoint)) != 0) {
+    score += turnover * kTriedDomainWait;
+  }
   score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
   if (aEndpoint.mFailureDomain != aQuery.mFailureDomain) {
     score += aQuery.mCrossDomainSeconds;
@@ -76,15 +102,23 @@
   return score;
 }
 
-double UsualSeconds(const std::vector<EndpointView>& aEndpoints)
+ChoiceContext ContextOf(const std::vector<EndpointView>& aEndpoints,
+                        const EndpointQuery& aQuery)
 {
+  ChoiceContext context;
   double sum = 0;
   double known = 0;
   for (const EndpointView& endpoint : aEndpoints) {
     sum += endpoint.mSecondsPerRequest;
     known += endpoint.mSecondsPerRequest > 0 ? 1 : 0;
+    if (!aQuery.mExcluded.empty() && IsTried(endpoint, aQuery)) {
+      context.mTriedDomains |= DomainBit(endpoint);
+    }
+  }
+  if (known > 0) {
+    context.mUsualSeconds = sum / known;
   }
-  return known > 0 ? sum / known : kUnknownSecondsPerRequest;
+  return context;
 }
 
 } // namespace
@@ -95,13 +129,13 @@
 {
   EndpointDecision best{ std::nullopt, 0, "No endpoint may take the work." };
   std::optional<double> preferred;
-  const double usual = UsualSeconds(aEndpoints);
+  const ChoiceContext context = ContextOf(aEndpoints, aQuery);
   std::uint64_t ties = 0;
   for (const EndpointView& endpoint : aEndpoints) {
     if (!MayTake(endpoint, aQuery)) {
       continue;
     }
-    const double score = Score(endpoint, aQuery, usual);
+    const double score = Score(endpoint, aQuery, context);
     if (aQuery.mPreferred == endpoint.mIndex) {
       preferred = score;
     }
--- a/Libraries/LibRouting/EndpointHealth.cpp
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -17,12 +17,17 @@
 /// Errors, by count and by share above the pool's, that earn an ejection.
 constexpr double kMinErrors = 4;
 constexpr double kErrorShareAbovePool = 0.3;
-constexpr Duration kFirstEjection = std::chrono::seconds(5);
+constexpr Duration kFirstEjection = std::chrono::seconds(10);
 constexpr std::int32_t kMaxDoublings = 5;
 /// Time without an error after which earlier ejections are forgotten.
 constexpr Duration kCleanTime = std::chrono::seconds(60);
 /// Successes in a row until an endpoint that was ejected counts as well.
-constexpr std::int32_t kProbationSuccesses = 8;
+constexpr std::int32_t kProbationSuccesses = 3;
+/// How long they have to go on: an endpoint that flaps is well for a while.
+constexpr Duration kProbationTime = std::chrono::seconds(5);
+/// How long the last failure counts beyond the shares, and for how much.
+constexpr Duration kSuspicionTime = std::chrono::seconds(2);
+constexpr double kSuspectErrorShare = 0.5;
 
 EndpointHealth Aged(EndpointHealth aHealth, TimePoint aNow)
 {
@@ -37,8 +42,11 @@
 
 bool IsOnProbation(const EndpointHealth& aHealth)
 {
-  return aHealth.mEjections > 0 &&
-         aHealth.mConsecutiveSuccesses < kProbationSuccesses;
+  if (aHealth.mEjections == 0) {
+    return false;
+  }
+  return aHealth.mConsecutiveSuccesses < kProbationSuccesses ||
+         aHealth.mUpdatedAt - aHealth.mHealthySince < kProbationTime;
 }
 
 EndpointHealth Ejected(EndpointHealth aHealth, TimePoint aNow)
@@ -77,6 +85,9 @@
     aHealth.mConsecutiveSuccesses = 0;
     return aHealth;
   }
+  if (aHealth.mConsecutiveSuccesses == 0) {
+    aHealth.mHealthySince = aNow;
+  }
   aHealth.mSuccesses += 1;
   aHealth.mConsecutiveErrors = 0;
   aHealth.mConsecutiveSuccesses += 1;
@@ -96,6 +107,14 @@
   return all > 0 ? aHealth.mErrors / all : 0;
 }
 
+double ExpectedErrorShare(const EndpointHealth& aHealth, TimePoint aNow)
+{
+  const double share = ErrorShare(aHealth);
+  const bool isSuspect = aHealth.mConsecutiveErrors > 0 &&
+                         aNow - aHealth.mUpdatedAt < kSuspicionTime;
+  return isSuspect ? std::max(share, kSuspectErrorShare) : share;
+}
+
 bool ShouldEject(const EndpointHealth& aHealth, double aPoolErrorShare)
 {
   const std::int32_t errorsInARow = IsOnProbation(aHealth) ? 1 : kErrorsInARow;
--- a/Libraries/LibRouting/PoolEstimate.cpp
+++ b/Libraries/LibRouting/PoolEstimate.cpp
@@ -26,9 +26,7 @@
         std::max(1, endpoint.mSlots) / endpoint.mSecondsPerRequest;
     }
   }
-  const double othersGrowth =
-    std::max(0.0, ownChange) * (std::max(1U, aLiveVms) - 1.0);
-  const double everybody = std::max(own, reported + ownChange + othersGrowth);
+  const double everybody = std::max(own, reported + ownChange);
   estimate.mInFlight = std::llround(everybody);
   estimate.mOwnInFlight = std::llround(own);
   estimate.mOwnSlots =
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -78,10 +78,8 @@
   auto operator<=>(const PoolEstimate&) const = default;
 };
 
-/// Sums a pool over the endpoints that take work. Where this VM's requests have
-/// grown since the last report, the others' are taken to have grown as much:
-/// callers spread over the VMs, so a burst reaches all. A fall counts for this
-/// VM alone, so the estimate errs on the high side.
+/// Sums a pool over the endpoints that take work: the last reports, corrected
+/// for what this VM has started and finished since.
 PoolEstimate EstimatePool(const std::vector<EndpointView>& aEndpoints,
                           std::uint32_t aLiveVms);
 
--- a/include/Acaciavale/LibRouting/EndpointHealth.h
+++ b/include/Acaciavale/LibRouting/EndpointHealth.h
@@ -29,6 +29,7 @@
   std::uint32_t mSpeedSamples = 0;
   TimePoint mUpdatedAt{};
   TimePoint mEjectedUntil{};
+  TimePoint mHealthySince{};   ///< First success since the last error.
   std::int32_t mEjections = 0; ///< In a row, without a clean time between.
 
   auto operator<=>(const EndpointHealth&) const = default;
@@ -43,6 +44,11 @@
 /// Recent share of failures, 0 to 1.
 double ErrorShare(const EndpointHealth& aHealth);
 
+/// What a choice should take as the share of failures: more than the counts
+/// say, for a moment, where the last outcome was a failure. An endpoint that
+/// fails at once looks idle otherwise.
+double ExpectedErrorShare(const EndpointHealth& aHealth, TimePoint aNow);
+
 /// Whether the endpoint earns an ejection: errors in a row, or a share of
 /// errors far above what the pool shows.
 bool ShouldEject(const EndpointHealth& aHealth, double aPoolErrorShare);
@@ -50,7 +56,7 @@
 bool IsEjected(const EndpointHealth& aHealth, TimePoint aNow);
 
 /// Whether the endpoint may take no more work from this VM now: ejected, or
-/// back from an ejection, with as many requests out as successes since.
+/// back from an ejection, not yet well for some seconds, and busy with a trial.
 bool IsBlocked(const EndpointHealth& aHealth,
                std::int32_t aOwnInFlight,
                TimePoint aNow);
