Give every prompt prefix a home endpoint

Cause: prefixes settled wherever their first requests fell. Change: a home by rendezvous hashing over endpoint keys, which all VMs prefer alike; DecisionBench times the decisions.

--- a/Benchmarks/DecisionMeasureParts/RouterFake.cpp
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.cpp
@@ -60,6 +60,7 @@
   for (const std::uint32_t replica : SubsetOf(aScenario, aVm, aDomain)) {
     EndpointView view;
     view.mIndex = replica;
+    view.mKey = keys[replica];
     view.mFailureDomain = replica % aScenario.mDomains;
     view.mReserved = reserved[replica];
     view.mSlots = static_cast<std::int32_t>(aScenario.mSlots);
@@ -130,7 +131,7 @@
   std::optional<std::uint32_t> best;
   std::uint64_t highest = 0;
   for (const EndpointView& view : mViews) {
-    const std::uint64_t rank = RendezvousRank(aPrefixHash, view.mIndex);
+    const std::uint64_t rank = RendezvousRank(aPrefixHash, view.mKey);
     if (!best || rank > highest) {
       best = view.mIndex;
       highest = rank;
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -1,4 +1,5 @@
 #include <Acaciavale/LibRouting/EndpointChoice.h>
+#include <Acaciavale/LibRouting/EndpointSubset.h>
 
 #include <algorithm>
 
@@ -18,6 +19,10 @@
 constexpr double kTriedDomainWait = 1;
 /// Wait in turnovers that a failed attempt costs.
 constexpr double kFailureWait = 2;
+/// Share of a prefix that its home is taken to have, as the cache's events come
+/// late, and what a home counts for beyond that: copies elsewhere cost room.
+constexpr double kHomePrefixShare = 0.8;
+constexpr double kHomeBonus = 1;
 /// How much longer than the best the session's own endpoint may take.
 constexpr double kPreferredSlack = 1.25;
 
@@ -25,7 +30,8 @@
 struct ChoiceContext
 {
   double mUsualSeconds = kUnknownSecondsPerRequest;
-  std::uint64_t mTriedDomains = 0; ///< A bit for each failure domain.
+  std::uint64_t mTriedDomains = 0;     ///< A bit for each failure domain.
+  const EndpointView* mHome = nullptr; ///< Of the prompt's prefix, or null.
 };
 
 std::uint64_t DomainBit(const EndpointView& aEndpoint)
@@ -95,13 +101,37 @@
   if ((aContext.mTriedDomains & DomainBit(aEndpoint)) != 0) {
     score += turnover * kTriedDomainWait;
   }
-  score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
+  double prefixShare = aEndpoint.mPrefixShare;
+  if (aContext.mHome == &aEndpoint) {
+    prefixShare = std::max(prefixShare, kHomePrefixShare) + kHomeBonus;
+  }
+  score -= prefixShare * aQuery.mPrefillSeconds;
   if (aEndpoint.mFailureDomain != aQuery.mFailureDomain) {
     score += aQuery.mCrossDomainSeconds;
   }
   return score;
 }
 
+/// The endpoint that a prefix belongs to, whether or not it has it by now.
+const EndpointView* HomeOf(const std::vector<EndpointView>& aEndpoints,
+                           const EndpointQuery& aQuery)
+{
+  const EndpointView* home = nullptr;
+  std::uint64_t highest = 0;
+  for (const EndpointView& endpoint : aEndpoints) {
+    if (endpoint.mLeaving || endpoint.mEjected) {
+      continue;
+    }
+    const std::uint64_t rank =
+      RendezvousRank(aQuery.mPrefixHash, endpoint.mKey);
+    if (home == nullptr || rank > highest) {
+      home = &endpoint;
+      highest = rank;
+    }
+  }
+  return home;
+}
+
 ChoiceContext ContextOf(const std::vector<EndpointView>& aEndpoints,
                         const EndpointQuery& aQuery)
 {
@@ -118,6 +148,9 @@
   if (known > 0) {
     context.mUsualSeconds = sum / known;
   }
+  if (aQuery.mPrefixHash != 0) {
+    context.mHome = HomeOf(aEndpoints, aQuery);
+  }
   return context;
 }
 
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -16,6 +16,7 @@
 struct EndpointView
 {
   std::uint32_t mIndex = 0; ///< The caller's own number for it.
+  std::uint64_t mKey = 0;   ///< Hash of its address: the same on all VMs.
   std::uint32_t mFailureDomain = 0;
   bool mLeaving = false;
   bool mEjected = false;
@@ -47,8 +48,8 @@
   std::vector<std::uint32_t> mExcluded;    ///< Tried already.
   /// What leaving this VM's failure domain costs.
   double mCrossDomainSeconds = 0.001;
-  /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
-  /// it on are then tried in an order that all VMs share.
+  /// Hash of the prompt's prefix; 0 is none. It has a home endpoint, by
+  /// rendezvous hashing over the keys, that all VMs prefer alike.
   std::uint64_t mPrefixHash = 0;
   /// Whether this is long work that leaves the reserved endpoints to others.
   bool mAvoidsReserved = false;
