Score a sample of large pools only

Change: pools above 96 endpoints are sampled, with the prefix's home, the session's endpoint and those that cache the prefix always among them.

--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -2,11 +2,16 @@
 #include <Acaciavale/LibRouting/EndpointSubset.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Acaciavale {
 
 namespace {
 
+/// Endpoints that one choice scores at most, and how many of a larger pool it
+/// draws at random.
+constexpr std::size_t kMaxScored = 96;
+constexpr std::size_t kSampled = 48;
 /// Speed assumed of an endpoint when none of the pool was measured.
 constexpr double kUnknownSecondsPerRequest = 1;
 /// Wait in turnovers at an endpoint whose slots all seem just taken.
@@ -119,12 +124,9 @@
   const EndpointView* home = nullptr;
   std::uint64_t highest = 0;
   for (const EndpointView& endpoint : aEndpoints) {
-    if (endpoint.mLeaving || endpoint.mEjected) {
-      continue;
-    }
     const std::uint64_t rank =
       RendezvousRank(aQuery.mPrefixHash, endpoint.mKey);
-    if (home == nullptr || rank > highest) {
+    if (rank >= highest && !endpoint.mLeaving && !endpoint.mEjected) {
       home = &endpoint;
       highest = rank;
     }
@@ -132,26 +134,83 @@
   return home;
 }
 
-ChoiceContext ContextOf(const std::vector<EndpointView>& aEndpoints,
-                        const EndpointQuery& aQuery)
+/// The endpoints that a choice scores.
+struct Shortlist
 {
-  ChoiceContext context;
-  double sum = 0;
-  double known = 0;
+  std::array<const EndpointView*, kMaxScored> mEndpoints{};
+  std::size_t mCount = 0;
+
+  void Add(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
+  {
+    if (mCount < kMaxScored && MayTake(aEndpoint, aQuery)) {
+      mEndpoints[mCount++] = &aEndpoint;
+    }
+  }
+};
+
+/// Adds the endpoints that this request has a reason to prefer.
+void AddFavourites(Shortlist& aShortlist,
+                   const std::vector<EndpointView>& aEndpoints,
+                   const EndpointQuery& aQuery)
+{
+  if (!aQuery.mPreferred && aQuery.mPrefillSeconds <= 0) {
+    return;
+  }
   for (const EndpointView& endpoint : aEndpoints) {
-    sum += endpoint.mSecondsPerRequest;
-    known += endpoint.mSecondsPerRequest > 0 ? 1 : 0;
-    if (!aQuery.mExcluded.empty() && IsTried(endpoint, aQuery)) {
-      context.mTriedDomains |= DomainBit(endpoint);
+    if (endpoint.mPrefixShare > 0 || aQuery.mPreferred == endpoint.mIndex) {
+      aShortlist.Add(endpoint, aQuery);
     }
   }
-  if (known > 0) {
-    context.mUsualSeconds = sum / known;
+}
+
+/// All endpoints of a small pool. Of a large one a random sample, which costs
+/// less time and keeps VMs apart, and those with a reason.
+Shortlist ShortlistOf(const std::vector<EndpointView>& aEndpoints,
+                      const EndpointQuery& aQuery,
+                      const EndpointView* aHome,
+                      Random& aRandom)
+{
+  Shortlist shortlist;
+  if (aEndpoints.size() > kMaxScored) {
+    for (std::size_t draw = 0; draw < kSampled; ++draw) {
+      shortlist.Add(aEndpoints[aRandom.Below(aEndpoints.size())], aQuery);
+    }
+    if (aHome != nullptr) {
+      shortlist.Add(*aHome, aQuery);
+    }
+    AddFavourites(shortlist, aEndpoints, aQuery);
   }
-  if (aQuery.mPrefixHash != 0) {
-    context.mHome = HomeOf(aEndpoints, aQuery);
+  if (shortlist.mCount == 0) {
+    for (const EndpointView& endpoint : aEndpoints) {
+      shortlist.Add(endpoint, aQuery);
+    }
   }
-  return context;
+  return shortlist;
+}
+
+std::uint64_t TriedDomains(const std::vector<EndpointView>& aEndpoints,
+                           const EndpointQuery& aQuery)
+{
+  std::uint64_t domains = 0;
+  if (aQuery.mExcluded.empty()) {
+    return domains;
+  }
+  for (const EndpointView& endpoint : aEndpoints) {
+    domains |= IsTried(endpoint, aQuery) ? DomainBit(endpoint) : 0;
+  }
+  return domains;
+}
+
+double UsualSeconds(const Shortlist& aShortlist)
+{
+  double sum = 0;
+  double known = 0;
+  for (std::size_t index = 0; index < aShortlist.mCount; ++index) {
+    const double seconds = aShortlist.mEndpoints[index]->mSecondsPerRequest;
+    sum += seconds;
+    known += seconds > 0 ? 1 : 0;
+  }
+  return known > 0 ? sum / known : kUnknownSecondsPerRequest;
 }
 
 } // namespace
@@ -162,12 +221,17 @@
 {
   EndpointDecision best{ std::nullopt, 0, "No endpoint may take the work." };
   std::optional<double> preferred;
-  const ChoiceContext context = ContextOf(aEndpoints, aQuery);
+  ChoiceContext context;
+  if (aQuery.mPrefixHash != 0) {
+    context.mHome = HomeOf(aEndpoints, aQuery);
+  }
+  const Shortlist shortlist =
+    ShortlistOf(aEndpoints, aQuery, context.mHome, aRandom);
+  context.mUsualSeconds = UsualSeconds(shortlist);
+  context.mTriedDomains = TriedDomains(aEndpoints, aQuery);
   std::uint64_t ties = 0;
-  for (const EndpointView& endpoint : aEndpoints) {
-    if (!MayTake(endpoint, aQuery)) {
-      continue;
-    }
+  for (std::size_t index = 0; index < shortlist.mCount; ++index) {
+    const EndpointView& endpoint = *shortlist.mEndpoints[index];
     const double score = Score(endpoint, aQuery, context);
     if (aQuery.mPreferred == endpoint.mIndex) {
       preferred = score;
