--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -4,6 +4,15 @@
 
 namespace Acaciavale {
 
+namespace {
+
+bool Contains(const std::vector<std::string>& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+} // namespace
+
 const VersionSettings* FindVersion(const Settings& aSettings,
                                    const std::string& aModel,
                                    const std::string& aVersion)
@@ -24,14 +33,9 @@
              const std::string& aModel,
              const std::string& aVersion)
 {
-  const auto& models = aAccount.mModels;
-  if (std::find(models.begin(), models.end(), aModel) == models.end()) {
-    return false;
-  }
-  const auto& versions = aAccount.mVersions;
-  return versions.empty() ||
-         std::find(versions.begin(), versions.end(), aModel + "/" + aVersion) !=
-           versions.end();
+  return Contains(aAccount.mModels, aModel) &&
+         (aAccount.mVersions.empty() ||
+          Contains(aAccount.mVersions, aModel + "/" + aVersion));
 }
 
 } // namespace Acaciavale
