Measure the cost of the versions chosen and of roll-outs

Cause: two rows of the goal table were missing. Change: a fake of rated answers over three models and their cascade against the oracle; the roll-out judge against a canary of fixed steps. Trials may take half of a kind's requests where the mixture stays sure of the target, and a cascade's prior weighs 20 ratings at most.

--- a/Benchmarks/DecisionMeasure.cpp
+++ b/Benchmarks/DecisionMeasure.cpp
@@ -17,7 +17,8 @@
 using namespace Acaciavale::DecisionMeasure;
 
 constexpr Row kRows[] = {
-  { "slow", MeasureSlowReplica },  { "urgent", MeasureUrgent },
+  { "cost", MeasureCost },         { "slow", MeasureSlowReplica },
+  { "rollout", MeasureRollout },   { "urgent", MeasureUrgent },
   { "accounts", MeasureAccounts }, { "overload", MeasureOverload },
   { "prefix", MeasurePrefix },     { "domain", MeasureDomain },
   { "faulty", MeasureFaulty },
--- /dev/null
+++ b/Benchmarks/DecisionMeasureParts/CostRow.cpp
@@ -0,0 +1,321 @@
+#include "Rows.h"
+#include "Table.h"
+
+#include <Acaciavale/LibRouting/EvidenceStore.h>
+#include <Acaciavale/LibRouting/VersionChoice.h>
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <map>
+
+/// The row on cost at the quality target: mixed kinds of request over three
+/// models of unlike price and a cascade of them.
+namespace Acaciavale::DecisionMeasure {
+
+namespace {
+
+constexpr double kTarget = 0.85;
+constexpr std::size_t kRequests = 100'000;
+constexpr double kRequestsPerSecond = 58;
+constexpr double kRatedShare = 0.1;
+constexpr double kRatingDelaySeconds = 30;
+constexpr double kSnapshotSeconds = 1;
+constexpr std::int64_t kPromptTokens = 800;
+constexpr std::int64_t kOutputTokens = 200;
+/// Likelihood that a stage is sure of a good and of a bad answer.
+constexpr double kSureOfGood = 0.85;
+constexpr double kSureOfBad = 0.15;
+
+constexpr std::size_t kModels = 3;
+constexpr const char* kModelNames[kModels] = { "small", "medium", "large" };
+constexpr std::int64_t kPrices[kModels] = { 500'000, 3'000'000, 10'000'000 };
+constexpr double kPriors[kModels] = { 0.75, 0.85, 0.92 };
+
+/// One kind of request with each model's true quality for it.
+struct Kind
+{
+  std::string mName;
+  double mQuality[kModels];
+};
+
+struct Mix
+{
+  std::string mName;
+  std::vector<Kind> mKinds;
+};
+
+const std::vector<Mix>& Mixes()
+{
+  static const std::vector<Mix> sMixes = {
+    { "jadran",
+      { { "summary", { 0.72, 0.88, 0.95 } },
+        { "debrief", { 0.60, 0.82, 0.93 } },
+        { "check", { 0.91, 0.95, 0.97 } } } },
+    { "gebeta",
+      { { "layout", { 0.45, 0.74, 0.92 } },
+        { "fixture", { 0.87, 0.93, 0.96 } },
+        { "label", { 0.93, 0.96, 0.98 } },
+        { "quote", { 0.70, 0.86, 0.95 } } } },
+  };
+  return sMixes;
+}
+
+Settings MakeSettings()
+{
+  Settings settings;
+  CascadeSettings cascade{ "assistant", {}, 0.8 };
+  for (std::size_t model = 0; model < kModels; ++model) {
+    VersionSettings version;
+    version.mName = "1";
+    version.mInputPrice = { kPrices[model] };
+    version.mOutputPrice = { kPrices[model] };
+    version.mPriorQuality = kPriors[model];
+    settings.mModels[kModelNames[model]] = { kModelNames[model], { version } };
+    cascade.mStages.push_back({ kModelNames[model], "1" });
+  }
+  settings.mCascades["assistant"] = cascade;
+  ClientAccountSettings account;
+  account.mModels = { "assistant" };
+  account.mQualityTarget = kTarget;
+  settings.mAccounts["a"] = account;
+  return settings;
+}
+
+std::size_t ModelOf(const CascadeStage& aStage)
+{
+  std::size_t model = 0;
+  while (aStage.mModel != kModelNames[model]) {
+    ++model;
+  }
+  return model;
+}
+
+double CostOf(std::size_t aModel)
+{
+  return static_cast<double>(
+    Charge({ kPrices[aModel] }, kPromptTokens + kOutputTokens).mMicros);
+}
+
+/// What a run of neighbouring stages truly costs and gives.
+struct TrueWorth
+{
+  double mCost = 0;
+  double mQuality = 0;
+};
+
+TrueWorth WorthOf(const Kind& aKind, std::size_t aFirst, std::size_t aLast)
+{
+  TrueWorth worth;
+  double reached = 1;
+  for (std::size_t model = aFirst; model <= aLast; ++model) {
+    const double quality = aKind.mQuality[model];
+    worth.mCost += reached * CostOf(model);
+    if (model == aLast) {
+      worth.mQuality += reached * quality;
+      break;
+    }
+    worth.mQuality += reached * quality * kSureOfGood;
+    reached *= 1 - quality * kSureOfGood - (1 - quality) * kSureOfBad;
+  }
+  return worth;
+}
+
+double OracleCost(const Kind& aKind)
+{
+  double least = CostOf(kModels - 1);
+  for (std::size_t first = 0; first < kModels; ++first) {
+    for (std::size_t last = first; last < kModels; ++last) {
+      const TrueWorth worth = WorthOf(aKind, first, last);
+      if (worth.mQuality >= kTarget) {
+        least = std::min(least, worth.mCost);
+      }
+    }
+  }
+  return least;
+}
+
+struct KindTotals
+{
+  double mRequests = 0;
+  double mGood = 0;
+};
+
+struct Rating
+{
+  double mAt = 0;
+  EvidenceKey mKey;
+  bool mGood = false;
+};
+
+struct CostResult
+{
+  double mCost = 0;
+  double mOracleCost = 0;
+  double mBestCost = 0;
+  double mCheapestCost = 0;
+  double mWorstKindQuality = 1;
+};
+
+class CostRun
+{
+public:
+  CostRun(const Mix& aMix, std::uint64_t aSeed)
+    : mMix(aMix)
+    , mRandom(aSeed)
+  {
+  }
+
+  CostResult Run()
+  {
+    for (std::size_t request = 0; request < kRequests; ++request) {
+      mNow = static_cast<double>(request) / kRequestsPerSecond;
+      TakeRatings();
+      const Kind& kind = mMix.mKinds[mRandom.Below(mMix.mKinds.size())];
+      Serve(kind);
+      mResult.mOracleCost += OracleCost(kind);
+      mResult.mBestCost += CostOf(kModels - 1);
+      mResult.mCheapestCost += CostOf(0);
+    }
+    for (const auto& [name, totals] : mTotals) {
+      mResult.mWorstKindQuality =
+        std::min(mResult.mWorstKindQuality, totals.mGood / totals.mRequests);
+    }
+    return mResult;
+  }
+
+private:
+  TimePoint Now() const
+  {
+    return TimePoint{} + std::chrono::duration_cast<Duration>(
+                           std::chrono::duration<double>(mNow));
+  }
+
+  void TakeRatings()
+  {
+    while (!mRatings.empty() && mRatings.front().mAt <= mNow) {
+      mStore.RecordRating(mRatings.front().mKey, mRatings.front().mGood, Now());
+      mRatings.pop_front();
+    }
+    if (mNow >= mNextSnapshot) {
+      mEvidence = mStore.Snapshot(Now());
+      mNextSnapshot = mNow + kSnapshotSeconds;
+    }
+  }
+
+  void Serve(const Kind& aKind)
+  {
+    RequestProfile profile;
+    profile.mAccount = "a";
+    profile.mTarget = "assistant";
+    profile.mKind = aKind.mName;
+    profile.mPromptTokens = kPromptTokens;
+    profile.mExpectedOutputTokens = kOutputTokens;
+    const VersionView view{ mSettings, mEvidence, mRollouts, mLoaded };
+    const VersionDecision decision = ChooseVersion(profile, view, mRandom);
+    bool isGood = false;
+    std::size_t ran = 0;
+    for (const CascadeStage& stage : decision.mStages) {
+      const std::size_t model = ModelOf(stage);
+      mResult.mCost += CostOf(model);
+      ran += 1;
+      isGood = mRandom.Unit() < aKind.mQuality[model];
+      if (mRandom.Unit() < (isGood ? kSureOfGood : kSureOfBad)) {
+        break;
+      }
+    }
+    KindTotals& totals = mTotals[aKind.mName];
+    totals.mRequests += 1;
+    totals.mGood += isGood ? 1 : 0;
+    Record(decision, aKind, ran, isGood);
+  }
+
+  void Record(const VersionDecision& aDecision,
+              const Kind& aKind,
+              std::size_t aRan,
+              bool aGood)
+  {
+    EvidenceKey key{ aDecision.mStages[0].mModel, "1", aKind.mName };
+    AnswerEvidence answer;
+    if (aDecision.mStages.size() > 1) {
+      key = CascadeEvidenceKey("assistant", aDecision.mStages, aKind.mName);
+      answer.mEscalated = aRan > 1;
+    }
+    mStore.RecordAnswer(key, answer, Now());
+    if (mRandom.Unit() < kRatedShare) {
+      mRatings.push_back({ mNow + kRatingDelaySeconds, key, aGood });
+    }
+  }
+
+  const Mix& mMix;
+  Random mRandom;
+  const Settings mSettings = MakeSettings();
+  const std::vector<RolloutView> mRollouts;
+  const std::vector<CascadeStage> mLoaded =
+    mSettings.mCascades.at("assistant").mStages;
+  EvidenceStore mStore;
+  EvidenceView mEvidence;
+  std::deque<Rating> mRatings;
+  std::map<std::string, KindTotals> mTotals;
+  double mNow = 0;
+  double mNextSnapshot = 0;
+  CostResult mResult;
+};
+
+double CheapestQuality(const Mix& aMix)
+{
+  double worst = 1;
+  for (const Kind& kind : aMix.mKinds) {
+    worst = std::min(worst, kind.mQuality[0]);
+  }
+  return worst;
+}
+
+} // namespace
+
+void MeasureCost()
+{
+  for (const Mix& mix : Mixes()) {
+    CostResult sum;
+    double worstQuality = 1;
+    for (const std::uint64_t seed : kSeeds) {
+      const CostResult result = CostRun(mix, seed).Run();
+      sum.mCost += result.mCost;
+      sum.mOracleCost += result.mOracleCost;
+      sum.mBestCost += result.mBestCost;
+      sum.mCheapestCost += result.mCheapestCost;
+      worstQuality = std::min(worstQuality, result.mWorstKindQuality);
+    }
+    const std::string& size = mix.mName;
+    PrintFigure("cost",
+                size,
+                "cost / always best",
+                sum.mCost / sum.mBestCost,
+                Bound::AtMost,
+                0.5);
+    PrintFigure("cost",
+                size,
+                "cost / oracle",
+                sum.mCost / sum.mOracleCost,
+                Bound::AtMost,
+                1.1);
+    PrintFigure("cost",
+                size,
+                "good share, worst kind and seed",
+                worstQuality,
+                Bound::AtLeast,
+                kTarget);
+    PrintFigure(
+      "cost", size, "oracle / always best", sum.mOracleCost / sum.mBestCost);
+    PrintFigure("cost",
+                size,
+                "always cheapest / always best",
+                sum.mCheapestCost / sum.mBestCost);
+    PrintFigure("cost",
+                size,
+                "good share, always cheapest, worst kind",
+                CheapestQuality(mix));
+  }
+}
+
+} // namespace Acaciavale::DecisionMeasure
--- a/Libraries/LibRouting/CandidateScore.cpp
+++ b/Libraries/LibRouting/CandidateScore.cpp
@@ -17,7 +17,7 @@
 constexpr double kToleratedErrorShare = 0.1;
 constexpr double kPriorErrorAnswers = 20;
 /// Most ratings that the stages' own evidence counts for in their cascade.
-constexpr double kMaxCascadePriorRatings = 100;
+constexpr double kMaxCascadePriorRatings = 20;
 
 /// Ratings, seen or assumed: a beta distribution by its two counts.
 struct RatedShare
--- a/include/Acaciavale/LibRouting/VersionChoice.h
+++ b/include/Acaciavale/LibRouting/VersionChoice.h
@@ -96,7 +96,7 @@
   const std::vector<CascadeStage>& mLoaded;
   /// Largest share of requests that may try a cheaper version whose quality is
   /// not known yet, outside roll-outs.
-  double mExplorationShare = 0.2;
+  double mExplorationShare = 0.5;
   /// Bad answers, beyond those that the target allows, that the trial of one
   /// version for one kind of request may cost.
   double mExplorationBudget = 20;
