--- a/Libraries/LibRouting/CandidateScore.cpp
+++ b/Libraries/LibRouting/CandidateScore.cpp
@@ -113,6 +113,7 @@
 void SetQuality(VersionCandidate& aCandidate, const RatedShare& aQuality)
 {
   aCandidate.mQualityLowerBound = LowerBound(aQuality.mGood, aQuality.mRated);
+  aCandidate.mQualityMean = aQuality.Mean();
   aCandidate.mQualityUpperBound = UpperBound(aQuality.mGood, aQuality.mRated);
 }
 
--- a/Libraries/LibRouting/VersionChoice.cpp
+++ b/Libraries/LibRouting/VersionChoice.cpp
@@ -104,15 +104,15 @@
            aView.mExplorationBudget;
 }
 
-/// Largest share of trials at which the mixture of chosen and tried still
-/// meets the target at the lower bounds.
+/// Largest share of trials at which the mixture of the chosen, at its lower
+/// bound, and the tried, at its mean, still meets the target.
 double TrialShare(const VersionCandidate& aTried,
                   const VersionCandidate& aChosen,
                   double aMaxShare,
                   double aQualityTarget)
 {
   const double slack = aChosen.mQualityLowerBound - aQualityTarget;
-  const double loss = aChosen.mQualityLowerBound - aTried.mQualityLowerBound;
+  const double loss = aChosen.mQualityLowerBound - aTried.mQualityMean;
   if (loss <= 0) {
     return aMaxShare;
   }
--- a/include/Acaciavale/LibRouting/VersionChoice.h
+++ b/include/Acaciavale/LibRouting/VersionChoice.h
@@ -54,6 +54,7 @@
   Money mExpectedCost;
   double mQualityLowerBound = 0;
   double mQualityUpperBound = 0;
+  double mQualityMean = 0;
   Duration mExpectedLatency{}; ///< Counts later stages by their likelihood.
   Duration mLongestLatency{};  ///< If every stage runs.
   Exclusion mExclusion = Exclusion::None;
@@ -96,7 +97,7 @@
   const std::vector<CascadeStage>& mLoaded;
   /// Largest share of requests that may try a cheaper version whose quality is
   /// not known yet, outside roll-outs.
-  double mExplorationShare = 0.5;
+  double mExplorationShare = 0.9;
   /// Bad answers, beyond those that the target allows, that the trial of one
   /// version for one kind of request may cost.
   double mExplorationBudget = 20;
