--- a/Benchmarks/DecisionMeasureParts/RouterFake.cpp
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.cpp
@@ -17,15 +17,19 @@
     std::chrono::duration<double>(aSeconds));
 }
 
+std::uint64_t KeyOf(const PoolScenario& aScenario, std::uint32_t aReplica)
+{
+  return RendezvousRank(aScenario.mSeed, aReplica);
+}
+
 std::vector<std::uint32_t> SubsetOf(const PoolScenario& aScenario,
                                     std::uint32_t aVm,
                                     std::uint32_t aDomain)
 {
   std::vector<SubsetMember> members;
   for (std::uint32_t replica = 0; replica < aScenario.mReplicas; ++replica) {
-    members.push_back({ replica,
-                        RendezvousRank(aScenario.mSeed, replica),
-                        replica % aScenario.mDomains });
+    members.push_back(
+      { replica, KeyOf(aScenario, replica), replica % aScenario.mDomains });
   }
   return ChooseSubset(aVm + 1, aDomain, members);
 }
@@ -42,14 +46,23 @@
                        std::uint32_t aDomain)
   : mScenario(aScenario)
   , mDomain(aDomain)
+  , mLiveVms(aScenario.mVms)
   , mRandom(aScenario.mSeed * kVmStride + aVm)
   , mPositions(aScenario.mReplicas, -1)
   , mNext(mRandom.Below(aScenario.mReplicas))
 {
+  std::vector<std::uint64_t> keys;
+  for (std::uint32_t replica = 0; replica < aScenario.mReplicas; ++replica) {
+    keys.push_back(KeyOf(aScenario, replica));
+  }
+  const std::vector<bool> reserved =
+    ReservedEndpoints(keys, ReservedShare(Priority::Batch));
   for (const std::uint32_t replica : SubsetOf(aScenario, aVm, aDomain)) {
     EndpointView view;
     view.mIndex = replica;
+    view.mKey = keys[replica];
     view.mFailureDomain = replica % aScenario.mDomains;
+    view.mReserved = reserved[replica];
     view.mSlots = static_cast<std::int32_t>(aScenario.mSlots);
     mPositions[replica] = static_cast<std::int32_t>(mViews.size());
     mViews.push_back(view);
@@ -68,7 +81,7 @@
     view.mSecondsPerRequest =
       health.mSecondsPerRequest * aDispatch.mClassSeconds;
     view.mTurnoverSeconds = health.mSecondsPerRequest * SecondsOf(mTurnover);
-    view.mErrorShare = ErrorShare(health);
+    view.mErrorShare = ExpectedErrorShare(health, now);
     view.mEjected = IsBlocked(health, view.mOwnInFlight, now);
     view.mPrefixShare = 0;
     if (aDispatch.mCached != nullptr &&
@@ -84,13 +97,13 @@
   Refresh(aDispatch);
   EndpointQuery query;
   query.mFailureDomain = mDomain;
-  query.mLiveVms = mScenario.mVms;
+  query.mLiveVms = mLiveVms;
   query.mExcluded = aDispatch.mTried;
   if (aDispatch.mCached != nullptr) {
     query.mPrefillSeconds = mScenario.mPrefillSeconds;
     query.mPrefixHash = aDispatch.mPrefixHash;
   }
-  query.mReservedShare = ReservedShare(aDispatch.mPriority);
+  query.mAvoidsReserved = aDispatch.mPriority == Priority::Batch;
   return ChooseEndpoint(mViews, query, mRandom).mIndex;
 }
 
@@ -118,7 +131,7 @@
   std::optional<std::uint32_t> best;
   std::uint64_t highest = 0;
   for (const EndpointView& view : mViews) {
-    const std::uint64_t rank = RendezvousRank(aPrefixHash, view.mIndex);
+    const std::uint64_t rank = RendezvousRank(aPrefixHash, view.mKey);
     if (!best || rank > highest) {
       best = view.mIndex;
       highest = rank;
@@ -162,7 +175,7 @@
   dispatch.mNow = aNow;
   dispatch.mClassSeconds = aClass.mSeconds;
   Refresh(dispatch);
-  const PoolEstimate pool = EstimatePool(mViews, mScenario.mVms);
+  const PoolEstimate pool = EstimatePool(mViews, mLiveVms);
   AdmissionQuery query;
   query.mAccount = aAccount;
   query.mPriority = aClass.mPriority;
