--- a/Benchmarks/DecisionMeasureParts/RouterFake.h
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.h
@@ -44,12 +44,14 @@
   void NoteSent(std::uint32_t aReplica);
   void NoteEnded(std::uint32_t aReplica,
                  const EndpointOutcome& aOutcome,
+                 double aNormalSeconds,
                  double aNow);
   void NoteReport(std::uint32_t aReplica,
                   std::int32_t aInFlight,
                   std::int32_t aOwnInFlight,
                   double aTakenAt);
   void NoteLeaving(std::uint32_t aReplica);
+  void NoteLiveVms(std::uint32_t aCount) { mLiveVms = aCount; }
 
   AdmissionControl mAdmission;
   AttemptBudget mRetryBudget;
@@ -62,9 +64,11 @@
 
   const PoolScenario& mScenario;
   std::uint32_t mDomain;
+  std::uint32_t mLiveVms;
   Random mRandom;
   std::vector<EndpointView> mViews; ///< The subset; mIndex is the replica.
   std::vector<EndpointHealth> mHealth;
+  Turnover mTurnover; ///< Of the pool, at an unhurried replica's speed.
   std::vector<double> mReportedAt;
   std::vector<std::int32_t> mPositions; ///< Of each replica; -1 is none.
   std::uint64_t mNext;
--- a/Libraries/LibRouting/EndpointHealth.cpp
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -9,18 +9,25 @@
 namespace {
 
 constexpr double kHalfLifeSeconds = 10;
-/// Weight of a new measurement in the smoothed speed.
-constexpr double kSpeedWeight = 0.2;
+/// Least weight of a new measurement in the smoothed speed; the first ones
+/// weigh as in a plain mean.
+constexpr double kSpeedWeight = 0.05;
+constexpr double kTurnoverWeight = 0.01;
 constexpr std::int32_t kErrorsInARow = 3;
 /// Errors, by count and by share above the pool's, that earn an ejection.
 constexpr double kMinErrors = 4;
 constexpr double kErrorShareAbovePool = 0.3;
-constexpr Duration kFirstEjection = std::chrono::seconds(5);
+constexpr Duration kFirstEjection = std::chrono::seconds(10);
 constexpr std::int32_t kMaxDoublings = 5;
 /// Time without an error after which earlier ejections are forgotten.
 constexpr Duration kCleanTime = std::chrono::seconds(60);
 /// Successes in a row until an endpoint that was ejected counts as well.
-constexpr std::int32_t kProbationSuccesses = 8;
+constexpr std::int32_t kProbationSuccesses = 3;
+/// How long they have to go on: an endpoint that flaps is well for a while.
+constexpr Duration kProbationTime = std::chrono::seconds(5);
+/// How long the last failure counts beyond the shares, and for how much.
+constexpr Duration kSuspicionTime = std::chrono::seconds(2);
+constexpr double kSuspectErrorShare = 0.5;
 
 EndpointHealth Aged(EndpointHealth aHealth, TimePoint aNow)
 {
@@ -35,8 +42,11 @@
 
 bool IsOnProbation(const EndpointHealth& aHealth)
 {
-  return aHealth.mEjections > 0 &&
-         aHealth.mConsecutiveSuccesses < kProbationSuccesses;
+  if (aHealth.mEjections == 0) {
+    return false;
+  }
+  return aHealth.mConsecutiveSuccesses < kProbationSuccesses ||
+         aHealth.mUpdatedAt - aHealth.mHealthySince < kProbationTime;
 }
 
 EndpointHealth Ejected(EndpointHealth aHealth, TimePoint aNow)
@@ -75,10 +85,14 @@
     aHealth.mConsecutiveSuccesses = 0;
     return aHealth;
   }
+  if (aHealth.mConsecutiveSuccesses == 0) {
+    aHealth.mHealthySince = aNow;
+  }
   aHealth.mSuccesses += 1;
   aHealth.mConsecutiveErrors = 0;
   aHealth.mConsecutiveSuccesses += 1;
-  const double weight = aHealth.mSecondsPerRequest > 0 ? kSpeedWeight : 1;
+  aHealth.mSpeedSamples += 1;
+  const double weight = std::max(kSpeedWeight, 1.0 / aHealth.mSpeedSamples);
   aHealth.mSecondsPerRequest +=
     weight * (aOutcome.mServiceSeconds - aHealth.mSecondsPerRequest);
   if (aNow - aHealth.mEjectedUntil > kCleanTime && !IsOnProbation(aHealth)) {
@@ -93,6 +107,14 @@
   return all > 0 ? aHealth.mErrors / all : 0;
 }
 
+double ExpectedErrorShare(const EndpointHealth& aHealth, TimePoint aNow)
+{
+  const double share = ErrorShare(aHealth);
+  const bool isSuspect = aHealth.mConsecutiveErrors > 0 &&
+                         aNow - aHealth.mUpdatedAt < kSuspicionTime;
+  return isSuspect ? std::max(share, kSuspectErrorShare) : share;
+}
+
 bool ShouldEject(const EndpointHealth& aHealth, double aPoolErrorShare)
 {
   const std::int32_t errorsInARow = IsOnProbation(aHealth) ? 1 : kErrorsInARow;
@@ -150,4 +172,18 @@
   return aPool;
 }
 
+Turnover Recorded(Turnover aTurnover, double aServiceSeconds)
+{
+  const double weight = aTurnover.mSeconds > 0 ? kTurnoverWeight : 1;
+  aTurnover.mSeconds += weight * (aServiceSeconds - aTurnover.mSeconds);
+  aTurnover.mSquares +=
+    weight * (aServiceSeconds * aServiceSeconds - aTurnover.mSquares);
+  return aTurnover;
+}
+
+double SecondsOf(const Turnover& aTurnover)
+{
+  return aTurnover.mSeconds > 0 ? aTurnover.mSquares / aTurnover.mSeconds : 0;
+}
+
 } // namespace Acaciavale
--- a/Libraries/LibSettings/CrossChecks.cpp
+++ b/Libraries/LibSettings/CrossChecks.cpp
@@ -80,10 +80,11 @@
 
 void CheckRequired(Checking& aChecking)
 {
+  const std::set<SectionName> groups = GroupsOf(aChecking.mTree);
   for (const auto& [name, section] : aChecking.mTree.mSections) {
     const bool isDefaults =
       name.mPath.empty() && name.mKind != SectionKind::Deployment;
-    if (isDefaults || IsGroup(aChecking.mTree, name)) {
+    if (isDefaults || groups.contains(name)) {
       continue;
     }
     for (const SettingRow& row : RowsOf(name.mKind)) {
@@ -235,7 +236,8 @@
       Report(aChecking,
              place,
              "account " + aAccount.mName + " may name model " + name +
-               " but has no permitted version of it that serves");
+               " but has no permitted version of it that serves; allowed is "
+               "that where the model states may-be-empty = yes");
     }
   }
 }
--- a/Programs/acaciavale/Commands.cpp
+++ b/Programs/acaciavale/Commands.cpp
@@ -1,11 +1,21 @@
 #include "Command.h"
 
+#include "BillsCommand.h"
+#include "ReportCommand.h"
+#include "RolloutCommand.h"
+#include "ServeCommand.h"
+#include "SettingsCommand.h"
+#include "VersionCommand.h"
+
 namespace Acaciavale {
 
 // Declared here and defined each in the file of its command.
 const std::vector<Command>& Commands()
 {
-  static const std::vector<Command> sCommands{};
+  static const std::vector<Command> sCommands{
+    ServeCommand(),   SettingsCommand(), VersionCommand(),
+    RolloutCommand(), ReportCommand(),   BillsCommand()
+  };
   return sCommands;
 }
 
--- a/include/Acaciavale/LibBilling/Ledger.h
+++ b/include/Acaciavale/LibBilling/Ledger.h
@@ -191,4 +191,11 @@
 /// What does not add up in the report, one sentence each; empty when all does.
 std::vector<std::string> Reconcile(const BillReport& aReport);
 
+/// Requests that were answered, by account, as somebody else counted them.
+using AnsweredRequests = std::map<std::string, std::uint64_t>;
+
+/// Where the bill and the requests answered differ, one sentence per account.
+std::vector<std::string> ReconcileAnswered(const AccountTotals& aTotals,
+                                           const AnsweredRequests& aAnswered);
+
 } // namespace Acaciavale
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -16,15 +16,22 @@
 struct EndpointView
 {
   std::uint32_t mIndex = 0; ///< The caller's own number for it.
+  std::uint64_t mKey = 0;   ///< Hash of its address: the same on all VMs.
   std::uint32_t mFailureDomain = 0;
   bool mLeaving = false;
   bool mEjected = false;
+  /// Kept free of long work, so that urgent work finds a slot at once whatever
+  /// the reports say. See ReservedEndpoints.
+  bool mReserved = false;
   std::int32_t mOwnInFlight = 0;      ///< This VM's requests there, right now.
   std::int32_t mReportedInFlight = 0; ///< Everybody's, as last reported.
   std::int32_t mOwnInFlightAtReport = 0; ///< This VM's, when that was reported.
   Duration mReportAge{};
   double mSecondsPerRequest = 0; ///< Measured service time; 0 is unknown.
-  std::int32_t mSlots = 1;       ///< Requests that it serves at once.
+  /// How long the requests that it holds take; 0 is as mSecondsPerRequest. Not
+  /// the same where look-ups and long drafts share an endpoint.
+  double mTurnoverSeconds = 0;
+  std::int32_t mSlots = 1; ///< Requests that it serves at once.
   double mPrefixShare = 0; ///< Share of this prompt that it has in its cache.
   double mErrorShare = 0;  ///< Recent share of failures.
 
@@ -41,12 +48,11 @@
   std::vector<std::uint32_t> mExcluded;    ///< Tried already.
   /// What leaving this VM's failure domain costs.
   double mCrossDomainSeconds = 0.001;
-  /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
-  /// it on are then tried in an order that all VMs share.
+  /// Hash of the prompt's prefix; 0 is none. It has a home endpoint, by
+  /// rendezvous hashing over the keys, that all VMs prefer alike.
   std::uint64_t mPrefixHash = 0;
-  /// Share of each endpoint's slots that this request leaves to more urgent
-  /// ones.
-  double mReservedShare = 0;
+  /// Whether this is long work that leaves the reserved endpoints to others.
+  bool mAvoidsReserved = false;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
@@ -67,13 +73,14 @@
   std::int64_t mSlots = 0;
   std::int64_t mInFlight = 0; ///< Everybody's.
   double mSecondsPerRequest = 0;
+  std::int64_t mOwnInFlight = 0; ///< This VM's.
+  double mOwnSlots = 0; ///< This VM's part of the slots, if VMs are alike.
 
   auto operator<=>(const PoolEstimate&) const = default;
 };
 
-/// Sums a pool over the endpoints that take work. What this VM has started or
-/// finished since the last report counts once for each live VM: callers spread
-/// over the VMs, so the others' load has moved as this one's has.
+/// Sums a pool over the endpoints that take work: the last reports, corrected
+/// for what this VM has started and finished since.
 PoolEstimate EstimatePool(const std::vector<EndpointView>& aEndpoints,
                           std::uint32_t aLiveVms);
 
