Keep limits, ledgers, roll-outs and objectives from the server

Cause: the parts for limits by epochs, closing of ledgers, roll-out control and service-level counters stood unused; every VM took its share of a limit from whom it happened to hear of, and a VM that came back under its old name hid the ledger of its last life. Change: Upkeep runs them on threads of its own. A bill's incarnation starts with the life of its VM, so that a peer can tell a dead life from a live one. A session holds every stage of its cascade and not only the last that ran, else its later requests would all start with the dear version.

--- a/Libraries/LibBilling/Billing.cpp
+++ b/Libraries/LibBilling/Billing.cpp
@@ -85,7 +85,10 @@
   {
     ++mCounts.mIncarnations;
     LedgerBook book;
-    book.mIncarnation = { mOptions.mVm, RandomToken(mRandom) };
+    const std::string life =
+      mOptions.mLife.empty() ? RandomToken(mRandom) : mOptions.mLife;
+    book.mIncarnation = { mOptions.mVm,
+                          life + "-" + std::to_string(mCounts.mIncarnations) };
     return book;
   }
 
--- a/Libraries/LibRouting/CandidateList.cpp
+++ b/Libraries/LibRouting/CandidateList.cpp
@@ -28,7 +28,9 @@
   }
   const CascadeStage* held =
     UsableSessionVersion(aProfile, aView.mSettings, aStage.mModel);
-  if (held != nullptr && *held != aStage) {
+  // NOTE: A session on a cascade holds a version for each of its stages, also
+  //       where these are versions of one model.
+  if (held != nullptr && !SessionHolds(aProfile, aStage)) {
     return Exclusion::SessionKeepsAnother;
   }
   return IsLoaded(aView, aStage) ? Exclusion::None : Exclusion::NotLoaded;
--- a/Libraries/LibServer/Caller.cpp
+++ b/Libraries/LibServer/Caller.cpp
@@ -116,8 +116,7 @@
   query.mAccount = aCaller.mAccount.mName;
   query.mPriority = aPriority;
   query.mTimeLeft = aCaller.mDeadline - MonotonicNow();
-  query.mLimitShare = 1.0 / static_cast<double>(std::max<std::size_t>(
-                              1, aParts.mMembership->LiveCount()));
+  query.mLimitShare = aParts.mLimits->Share();
   query.mLoad = aLoad;
   const AdmissionDecision decision =
     aParts.mAdmission.Start(*aCaller.mSettings, query, MonotonicNow());
--- a/Libraries/LibServer/ChatExchange.cpp
+++ b/Libraries/LibServer/ChatExchange.cpp
@@ -592,21 +592,29 @@
   return receipt;
 }
 
-ResponseHeaders ChatExchange::AnswerHeaders() const
+Session ChatExchange::KeptSession() const
 {
+  const auto settings = mParts.CurrentSettings();
   Session session = mSession;
-  for (const StageRun& run : mRuns) {
-    const auto same = [&run](const CascadeStage& aKept) {
-      return aKept.mModel == run.mStage.mModel;
-    };
-    const auto kept =
-      std::find_if(session.mVersions.begin(), session.mVersions.end(), same);
-    if (kept == session.mVersions.end()) {
-      session.mVersions.push_back(run.mStage);
-    } else {
-      *kept = run.mStage;
+  // NOTE: A version that may not be used any more is let go, so that the token
+  //       names the one that took its place.
+  std::erase_if(session.mVersions, [&](const CascadeStage& aHeld) {
+    const VersionSettings* version =
+      FindVersion(*settings, aHeld.mModel, aHeld.mVersion);
+    return version == nullptr || version->mState == VersionState::Withdrawn;
+  });
+  for (const CascadeStage& stage : mNote.mDecision.mStages) {
+    if (std::find(session.mVersions.begin(), session.mVersions.end(), stage) ==
+        session.mVersions.end()) {
+      session.mVersions.push_back(stage);
     }
   }
+  return session;
+}
+
+ResponseHeaders ChatExchange::AnswerHeaders() const
+{
+  const Session session = KeptSession();
   const ChatReceipt receipt = Receipt();
   return { { "X-Request-Id", receipt.mRequest },
            { "X-Acaciavale-Model", receipt.mModel },
@@ -646,6 +654,29 @@
   End("refused: " + aProblem.mReason);
 }
 
+void ChatExchange::NoteObjectives(const std::string& aOutcome)
+{
+  if (!mAdmitted) {
+    return;
+  }
+  SloSample sample;
+  sample.mAccount = mCaller.mAccount.mName;
+  sample.mModel = mChat.mTarget;
+  // A caller that goes away is not a failure of ours.
+  sample.mAnswered = aOutcome.rfind("refused", 0) != 0;
+  if (mStreamStarted) {
+    sample.mFirstToken = mFirstToken - mCaller.mStart;
+    if (mChunksRelayed > 1) {
+      sample.mBetweenTokens =
+        (MonotonicNow() - mFirstToken) / (mChunksRelayed - 1);
+    }
+  }
+  mParts.mObjectives.Record(
+    FindObjective(*mCaller.mSettings, sample.mAccount, sample.mModel),
+    sample,
+    CalendarNow());
+}
+
 void ChatExchange::End(const std::string& aOutcome)
 {
   mEnded = true;
@@ -662,6 +693,7 @@
       { { "request", mNote.mRequest },
         { "account", mCaller.mAccount.mName },
         { "outcome", aOutcome } });
+  NoteObjectives(aOutcome);
   mNote.mOutcome = aOutcome;
   mDispatch.reset();
   mParts.mDecisions.Add(std::move(mNote));
--- a/Libraries/LibServer/ChatExchange.h
+++ b/Libraries/LibServer/ChatExchange.h
@@ -57,11 +57,13 @@
   void WriteToCaller(std::string aBytes);
   void OnCallerGone();
   void Refuse(Problem aProblem);
+  void NoteObjectives(const std::string& aOutcome);
   void End(const std::string& aOutcome);
   bool IsLastStage() const;
   bool StreamsThisStage() const;
   const CascadeStage& Stage() const;
   ChatReceipt Receipt() const;
+  Session KeptSession() const;
   ResponseHeaders AnswerHeaders() const;
 
   ServerShard& mShard;
--- a/Libraries/LibServer/OperatorPages.cpp
+++ b/Libraries/LibServer/OperatorPages.cpp
@@ -174,7 +174,9 @@
     return;
   }
   if (aRequest.mPath == "/readyz") {
-    const bool ready = aParts.CurrentSettings() != nullptr && !aParts.mDraining;
+    // NOTE: A VM that has no part of the limits yet would refuse everything.
+    const bool ready = aParts.CurrentSettings() != nullptr &&
+                       !aParts.mDraining && aParts.mLimits->Share() > 0;
     SendText(aResponse, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     return;
   }
--- a/Libraries/LibServer/Refresher.cpp
+++ b/Libraries/LibServer/Refresher.cpp
@@ -1,11 +1,9 @@
 #include "Refresher.h"
 
+#include "PeriodicThread.h"
+
 #include <Acaciavale/LibCore/Log.h>
 #include <Acaciavale/LibSettings/SettingsStore.h>
-#include <asio/post.hpp>
-#include <condition_variable>
-#include <mutex>
-#include <thread>
 
 namespace Acaciavale {
 
@@ -21,50 +19,6 @@
 constexpr auto kSettingsWatch = std::chrono::seconds(5);
 constexpr auto kListDeadline = std::chrono::milliseconds(400);
 
-/// Calls an action over and over until it is stopped.
-class PeriodicThread
-{
-public:
-  PeriodicThread(Duration aPeriod, std::function<void()> aAction)
-    : mPeriod(aPeriod)
-    , mAction(std::move(aAction))
-    , mThread([this] { Run(); })
-  {
-  }
-
-  ~PeriodicThread()
-  {
-    {
-      const std::lock_guard guard(mLock);
-      mStop = true;
-    }
-    mWake.notify_all();
-    mThread.join();
-  }
-
-  PeriodicThread(const PeriodicThread&) = delete;
-  PeriodicThread& operator=(const PeriodicThread&) = delete;
-
-private:
-  void Run()
-  {
-    std::unique_lock lock(mLock);
-    while (!mStop) {
-      lock.unlock();
-      mAction();
-      lock.lock();
-      mWake.wait_for(lock, mPeriod, [this] { return mStop; });
-    }
-  }
-
-  const Duration mPeriod;
-  const std::function<void()> mAction;
-  std::mutex mLock;
-  std::condition_variable mWake;
-  bool mStop = false;
-  std::thread mThread;
-};
-
 } // namespace
 
 namespace {
@@ -90,9 +44,10 @@
 
 struct Refresher::Private
 {
-  Private(ServerParts& aParts, std::optional<Settings> aFixed)
+  Private(ServerParts& aParts, const Upkeep& aUpkeep, bool aFixed)
     : mParts(aParts)
-    , mFixed(std::move(aFixed))
+    , mUpkeep(aUpkeep)
+    , mFixed(aFixed)
   {
   }
 
@@ -133,6 +88,7 @@
   {
     Knowledge knowledge;
     knowledge.mEvidence = mParts.mEvidence.Snapshot(MonotonicNow());
+    knowledge.mRollouts = mUpkeep.Rollouts();
     mParts.mKnowledge = std::make_shared<const Knowledge>(std::move(knowledge));
   }
 
@@ -167,17 +123,17 @@
   }
 
   ServerParts& mParts;
-  std::optional<Settings> mFixed;
+  const Upkeep& mUpkeep;
+  const bool mFixed;
   std::int64_t mRootRevision = 0;
   std::vector<std::unique_ptr<PeriodicThread>> mThreads;
 };
 
-Refresher::Refresher(ServerParts& aParts, std::optional<Settings> aFixed)
-  : mPrivate(std::make_unique<Private>(aParts, std::move(aFixed)))
+Refresher::Refresher(ServerParts& aParts, const Upkeep& aUpkeep)
+  : mPrivate(std::make_unique<Private>(aParts,
+                                       aUpkeep,
+                                       aParts.mFixedSettings != nullptr))
 {
-  if (mPrivate->mFixed) {
-    aParts.mFixedSettings = std::make_shared<const Settings>(*mPrivate->mFixed);
-  }
 }
 
 Refresher::~Refresher() = default;
@@ -223,30 +179,4 @@
             aGeneration);
 }
 
-void Refresher::CloseLedgerOf(const Incarnation& aIncarnation)
-{
-  asio::post(
-    mPrivate->mParts.mBlocking, [&parts = mPrivate->mParts, aIncarnation] {
-      const auto closed =
-        CloseLedger(parts.mStore, aIncarnation, parts.mHeld.Of(aIncarnation));
-      if (!closed) {
-        Log(
-          LogLevel::Warning,
-          "bills",
-          "A dead VM's ledger could not be closed.",
-          { { "vm", aIncarnation.mVm }, { "error", closed.error().mMessage } });
-      }
-    });
-}
-
-EvidenceView Refresher::TakeEvidence()
-{
-  return mPrivate->mParts.mEvidence.TakeReport();
-}
-
-void Refresher::MergeEvidence(const EvidenceView& aEvidence)
-{
-  mPrivate->mParts.mEvidence.Merge(aEvidence, MonotonicNow());
-}
-
 } // namespace Acaciavale
--- a/Libraries/LibServer/Refresher.h
+++ b/Libraries/LibServer/Refresher.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "ServerParts.h"
+#include "Upkeep.h"
 
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace Acaciavale {
@@ -13,7 +13,7 @@
 class Refresher
 {
 public:
-  Refresher(ServerParts& aParts, std::optional<Settings> aFixed);
+  Refresher(ServerParts& aParts, const Upkeep& aUpkeep);
   ~Refresher();
   Refresher(const Refresher&) = delete;
   Refresher& operator=(const Refresher&) = delete;
@@ -25,10 +25,6 @@
   std::string SettingsBody(std::int64_t aGeneration) const;
   /// Takes a record of settings if it is newer and whole.
   void OfferSettings(std::int64_t aGeneration, const std::string& aRecord);
-  /// Closes a dead VM's ledger with what is held here, in the background.
-  void CloseLedgerOf(const Incarnation& aIncarnation);
-  EvidenceView TakeEvidence();
-  void MergeEvidence(const EvidenceView& aEvidence);
 
 private:
   struct Private;
--- a/Libraries/LibServer/Server.cpp
+++ b/Libraries/LibServer/Server.cpp
@@ -91,6 +91,7 @@
   ServerParts mParts;
   Random mRandom;
   std::unique_ptr<HttpKeyValueClient> mKeyValue;
+  std::unique_ptr<Upkeep> mUpkeep;
   std::unique_ptr<Refresher> mRefresher;
   std::vector<std::unique_ptr<ShardThread>> mShards;
   std::unique_ptr<ShardThread> mOperators;
@@ -151,6 +152,7 @@
   state.mIncarnation = mIncarnation;
   state.mCallerAddress = mCallerAddress;
   state.mPeerAddress = mPeerAddress;
+  state.mOperatorAddress = mOperatorAddress;
   state.mFailureDomain = mOptions.mNode.mFailureDomain;
   state.mWeight = mOptions.mNode.mWeight;
   state.mDraining = mParts.mDraining;
@@ -180,11 +182,16 @@
     mParts.mHeld.Forget(aIncarnation, aUpTo);
   };
   callbacks.mVmDead = [this](const Incarnation& aIncarnation) {
-    mRefresher->CloseLedgerOf(aIncarnation);
+    mUpkeep->CloseLedgerOf(aIncarnation);
+  };
+  callbacks.mTakeEvidence = [this] {
+    const EvidenceView report = mParts.mEvidence.TakeReport();
+    mUpkeep->CountEvidence(report);
+    return report;
   };
-  callbacks.mTakeEvidence = [this] { return mRefresher->TakeEvidence(); };
   callbacks.mMergeEvidence = [this](const EvidenceView& aEvidence) {
-    mRefresher->MergeEvidence(aEvidence);
+    mParts.mEvidence.Merge(aEvidence, MonotonicNow());
+    mUpkeep->CountEvidence(aEvidence);
   };
   return callbacks;
 }
@@ -204,6 +211,7 @@
 {
   BillingOptions options;
   options.mVm = mOptions.mNode.mVm;
+  options.mLife = mIncarnation;
   mParts.mBilling = std::make_unique<Billing>(
     options,
     mParts.mStore,
@@ -253,13 +261,23 @@
   options.mCallsPerSecond = self.mOptions.mNode.mKeyValueCallsPerSecond;
   self.mKeyValue = std::make_unique<HttpKeyValueClient>(options);
   self.mParts.mStore = self.mKeyValue->Store();
-  self.mRefresher =
-    std::make_unique<Refresher>(self.mParts, self.mOptions.mFixedSettings);
+  if (self.mOptions.mFixedSettings) {
+    self.mParts.mFixedSettings =
+      std::make_shared<const Settings>(*self.mOptions.mFixedSettings);
+  }
+  LimitOptions limits;
+  limits.mVm = self.mOptions.mNode.mVm;
+  self.mParts.mLimits = std::make_unique<LimitShares>(
+    limits, self.mParts.mStore, self.mRandom.Next());
+  self.mUpkeep = std::make_unique<Upkeep>(
+    self.mParts, self.mIncarnation, self.mRandom.Next());
+  self.mRefresher = std::make_unique<Refresher>(self.mParts, *self.mUpkeep);
   ACACIAVALE_TRY_VOID(self.OpenCallers());
   ACACIAVALE_TRY_VOID(self.OpenOperators());
   ACACIAVALE_TRY_VOID(self.StartMembership());
   self.StartBilling();
   self.mRefresher->Start();
+  self.mUpkeep->Start();
   for (const auto& shard : self.mShards) {
     shard->mThread = std::thread([&shard] { shard->mShard.mContext.run(); });
   }
@@ -294,6 +312,7 @@
 {
   Log(LogLevel::Info, "server", "Leaving the list of addresses.");
   mParts.mDraining = true;
+  mParts.mMembership->Announce();
   const auto settings = mParts.CurrentSettings();
   const Duration keep =
     settings
@@ -312,6 +331,7 @@
 void Server::Private::StopThreads()
 {
   mRefresher->Stop();
+  mUpkeep->Stop();
   const auto closed = mParts.mBilling->Close();
   if (!closed) {
     Log(LogLevel::Warning,
--- a/Libraries/LibServer/ServerParts.h
+++ b/Libraries/LibServer/ServerParts.h
@@ -6,10 +6,13 @@
 
 #include <Acaciavale/LibAdmission/Admission.h>
 #include <Acaciavale/LibBilling/Ledger.h>
+#include <Acaciavale/LibClaims/Claims.h>
 #include <Acaciavale/LibEndpoint/EndpointClient.h>
+#include <Acaciavale/LibMembership/LimitShares.h>
 #include <Acaciavale/LibMembership/Membership.h>
 #include <Acaciavale/LibPlatform/KeyValueStore.h>
 #include <Acaciavale/LibReport/Metrics.h>
+#include <Acaciavale/LibReport/SloCounters.h>
 #include <Acaciavale/LibRouting/EvidenceStore.h>
 #include <Acaciavale/LibServer/NodeSettings.h>
 #include <Acaciavale/LibSettings/SettingsHolder.h>
@@ -54,7 +57,11 @@
   HeldEntries mHeld;
   std::unique_ptr<Membership> mMembership;
   std::unique_ptr<Billing> mBilling;
+  std::unique_ptr<LimitShares> mLimits;
+  ClaimLeases mClaimLeases;
+  OrphanedClaims mOrphanedClaims;
   Metrics mMetrics;
+  SloCounters mObjectives;
   DecisionLog mDecisions;
   asio::thread_pool mBlocking; ///< Calls of the store on behalf of requests.
   std::atomic<std::int64_t> mBlockingQueued{ 0 };
--- a/Libraries/LibServer/ServiceExchange.cpp
+++ b/Libraries/LibServer/ServiceExchange.cpp
@@ -3,7 +3,6 @@
 #include <Acaciavale/LibBilling/BillingRules.h>
 #include <algorithm>
 #include <asio/post.hpp>
-#include <openssl/sha.h>
 #include <thread>
 
 namespace Acaciavale {
@@ -18,20 +17,6 @@
 constexpr int kCompletionTries = 5;
 constexpr auto kCompletionPause = std::chrono::milliseconds(200);
 
-std::string Sha256Hex(const std::string& aText)
-{
-  constexpr char kHexDigits[] = "0123456789abcdef";
-  unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256(
-    reinterpret_cast<const unsigned char*>(aText.data()), aText.size(), digest);
-  std::string hex;
-  for (const unsigned char byte : digest) {
-    hex.push_back(kHexDigits[byte >> 4]);
-    hex.push_back(kHexDigits[byte & 15]);
-  }
-  return hex;
-}
-
 Problem NoRoute()
 {
   return Problem{ 404,
@@ -236,15 +221,20 @@
   }
   mClaim.mAccount = mCaller.mAccount.mName;
   mClaim.mKey = mRequest.mIdempotencyKey;
-  mClaim.mRequestDigest =
-    Sha256Hex(mRequest.mMethod + "\n" + mRequest.mPath + "\n" +
-              mRequest.mQuery + "\n" + mRequest.mBody);
+  mClaim.mNonce = mNote.mRequest;
+  mClaim.mRequestDigest = RequestDigest(
+    mRequest.mMethod, mRequest.mPath + "?" + mRequest.mQuery, mRequest.mBody);
   mClaim.mVm = mParts.mNode.mVm;
   mClaim.mNow = CalendarNow();
   mClaim.mRetention = mCaller.mSettings->mDeployment.mClaimRetention;
   mClaim.mRunLimit = mRoute.mDeadline + kClaimMargin;
   Blocking([self = shared_from_this()] {
+    self->mClaim.mLease = self->mParts.mClaimLeases.LeaseFor(
+      self->mParts.mStore, self->mClaim.mNow, self->mClaim.mRetention);
     const ClaimResult result = TakeClaim(self->mParts.mStore, self->mClaim);
+    if (result.mMayBeTaken) {
+      self->mParts.mOrphanedClaims.Add(self->mClaim);
+    }
     self->Post([self, result] { self->OnClaim(result); });
   });
 }
--- /dev/null
+++ b/Libraries/LibServer/Upkeep.cpp
@@ -0,0 +1,263 @@
+#include "Upkeep.h"
+
+#include "PeriodicThread.h"
+
+#include <Acaciavale/LibCore/Log.h>
+#include <Acaciavale/LibPlatform/EngineOrders.h>
+#include <Acaciavale/LibPlatform/WeightStoreClient.h>
+#include <Acaciavale/LibReport/SloStore.h>
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace Acaciavale {
+
+namespace {
+
+constexpr auto kOrderDeadline = std::chrono::seconds(2);
+constexpr auto kLimitsPause = std::chrono::milliseconds(1500);
+constexpr auto kLedgersPause = std::chrono::seconds(20);
+constexpr auto kClaimsPause = std::chrono::seconds(3);
+constexpr auto kObjectivesPause = std::chrono::seconds(30);
+constexpr auto kRolloutsPause = std::chrono::seconds(1);
+/// Rounds of the ledgers between two searches for ledgers that nobody holds
+/// entries of.
+constexpr int kAbandonedRounds = 9;
+
+/// Totals of a version over all kinds of request, never aged.
+using VersionTotals =
+  std::map<std::pair<std::string, std::string>, EvidenceCell>;
+
+double LoadShare(const EndpointView& aView)
+{
+  return aView.mSlots > 0 ? static_cast<double>(aView.mReportedInFlight) /
+                              static_cast<double>(aView.mSlots)
+                          : 1.0;
+}
+
+} // namespace
+
+struct Upkeep::Private
+{
+  Private(ServerParts& aParts, std::string aIncarnation, std::uint64_t aSeed)
+    : mParts(aParts)
+    , mIncarnation(std::move(aIncarnation))
+    , mSeed(aSeed)
+  {
+  }
+
+  bool Lives(const Incarnation& aIncarnation) const
+  {
+    const auto members = mParts.mMembership->Members();
+    return std::any_of(
+      members.begin(), members.end(), [&aIncarnation](const Member& aMember) {
+        return aMember.mState.mName == aIncarnation.mVm &&
+               aIncarnation.mNonce.rfind(aMember.mState.mIncarnation, 0) == 0 &&
+               aMember.mHealth != VmHealth::Dead;
+      });
+  }
+
+  /// Whether this VM is the one that does work which one VM should do. Two that
+  /// think so only do it twice.
+  bool IsFirst() const
+  {
+    for (const Member& member : mParts.mMembership->Members()) {
+      if (member.mHealth == VmHealth::Alive && !member.mState.mDraining) {
+        return member.mState.mName == mParts.mNode.mVm;
+      }
+    }
+    return false;
+  }
+
+  void StepLimits()
+  {
+    std::vector<LimitMember> live;
+    for (const Member& member : mParts.mMembership->Members()) {
+      if (member.mHealth != VmHealth::Dead) {
+        live.push_back({ member.mState.mName, member.mState.mWeight });
+      }
+    }
+    mParts.mLimits->Step(live);
+  }
+
+  void KeepLedgers()
+  {
+    mParts.mBilling->SetLedgerPeriod(
+      LedgerPeriod(mParts.mMembership->LiveCount()));
+    const IsAlive isAlive = [this](const Incarnation& aIncarnation) {
+      return Lives(aIncarnation);
+    };
+    Note("A dead VM's ledger could not be closed.",
+         CloseDeadLedgers(mParts.mStore, mParts.mHeld, isAlive));
+    if (!IsFirst()) {
+      return;
+    }
+    if (++mLedgerRounds % kAbandonedRounds == 0) {
+      Note("Abandoned ledgers could not be closed.",
+           CloseAbandonedLedgers(mParts.mStore, isAlive));
+    }
+    Note("Closed ledgers could not be folded.", FoldLedgers(mParts.mStore));
+  }
+
+  void StoreObjectives()
+  {
+    const auto revision =
+      StoreSlo(mParts.mStore,
+               { mParts.mNode.mVm, mIncarnation, mObjectivesRevision },
+               mParts.mObjectives.Cells(CalendarNow()));
+    if (revision) {
+      mObjectivesRevision = *revision;
+    }
+  }
+
+  template<typename Value>
+  void Note(const char* aSentence, const ErrorOr<Value>& aResult) const
+  {
+    if (!aResult) {
+      Log(LogLevel::Warning,
+          "upkeep",
+          aSentence,
+          { { "error", aResult.error().mMessage } });
+    }
+  }
+
+  std::vector<RolloutEndpoint> Engines() const
+  {
+    std::vector<RolloutEndpoint> engines;
+    const TimePoint now = MonotonicNow();
+    for (const auto& endpoint : mParts.mEndpoints.Snapshot()->mAll) {
+      const EndpointListing listing = endpoint->Listing();
+      if (!listing.mService.empty()) {
+        continue;
+      }
+      engines.push_back({ listing.mName,
+                          listing.mAddress,
+                          listing.mLoaded,
+                          listing.mLeaving,
+                          listing.mChecksFencing,
+                          LoadShare(endpoint->View(now)) });
+    }
+    return engines;
+  }
+
+  ErrorOr<void> SendOrder(const RolloutOrder& aOrder) const
+  {
+    const std::string& weights = mParts.mNode.mWeightsAddress;
+    if (aOrder.mKind == RolloutOrderKind::Load && !weights.empty()) {
+      const WeightFetch fetch =
+        ACACIAVALE_TRY(WeightStoreClient(weights, kOrderDeadline)
+                         .Fetch({ aOrder.mModel, aOrder.mVersion }));
+      if (!fetch.mAllowed) {
+        return MakeError(ErrorCode::Exhausted,
+                         "the weight store gives no more weights now");
+      }
+    }
+    return SendEngineOrder(
+      aOrder.mAddress, SerializeOrder(aOrder), kOrderDeadline);
+  }
+
+  EvidenceCell TotalsOf(const std::string& aModel, const std::string& aVersion)
+  {
+    const std::lock_guard guard(mLock);
+    return mTotals[{ aModel, aVersion }];
+  }
+
+  std::unique_ptr<RolloutController> MakeController();
+
+  ServerParts& mParts;
+  const std::string mIncarnation;
+  const std::uint64_t mSeed;
+  std::unique_ptr<RolloutController> mController;
+  int mLedgerRounds = 0;
+  std::int64_t mObjectivesRevision = 0;
+  mutable std::mutex mLock;
+  VersionTotals mTotals;
+  std::vector<RolloutView> mRollouts;
+  std::vector<std::unique_ptr<PeriodicThread>> mThreads;
+};
+
+std::unique_ptr<RolloutController> Upkeep::Private::MakeController()
+{
+  RolloutControllerOptions options;
+  options.mHolder = mParts.mNode.mVm + "/" + mIncarnation;
+  RolloutCallbacks callbacks;
+  callbacks.mSettings = [this] { return mParts.CurrentSettings(); };
+  callbacks.mTotals = [this](const std::string& aModel,
+                             const std::string& aVersion) {
+    return TotalsOf(aModel, aVersion);
+  };
+  callbacks.mEndpoints = [this] { return Engines(); };
+  callbacks.mOrder = [this](const RolloutOrder& aOrder) {
+    return SendOrder(aOrder);
+  };
+  callbacks.mViews = [this](const std::vector<RolloutView>& aViews) {
+    const std::lock_guard guard(mLock);
+    mRollouts = aViews;
+  };
+  return std::make_unique<RolloutController>(
+    options, callbacks, mParts.mStore, mSeed);
+}
+
+Upkeep::Upkeep(ServerParts& aParts,
+               const std::string& aIncarnation,
+               std::uint64_t aSeed)
+  : mPrivate(std::make_unique<Private>(aParts, aIncarnation, aSeed))
+{
+}
+
+Upkeep::~Upkeep() = default;
+
+void Upkeep::Start()
+{
+  Private* self = mPrivate.get();
+  self->mController = self->MakeController();
+  const auto every = [self](Duration aPause, std::function<void()> aAction) {
+    self->mThreads.push_back(
+      std::make_unique<PeriodicThread>(aPause, std::move(aAction)));
+  };
+  every(kLimitsPause, [self] { self->StepLimits(); });
+  every(kLedgersPause, [self] { self->KeepLedgers(); });
+  every(kClaimsPause,
+        [self] { self->mParts.mOrphanedClaims.Release(self->mParts.mStore); });
+  every(kObjectivesPause, [self] { self->StoreObjectives(); });
+  every(kRolloutsPause, [self] { self->mController->Step(); });
+}
+
+void Upkeep::Stop()
+{
+  mPrivate->mThreads.clear();
+  mPrivate->StoreObjectives();
+  mPrivate->mParts.mLimits->Leave();
+}
+
+void Upkeep::CloseLedgerOf(const Incarnation& aIncarnation)
+{
+  asio::post(mPrivate->mParts.mBlocking, [self = mPrivate.get(), aIncarnation] {
+    ServerParts& parts = self->mParts;
+    self->Note("A dead VM's ledger could not be closed.",
+               CloseDeadLedgers(
+                 parts.mStore,
+                 parts.mHeld,
+                 [self, &aIncarnation](const Incarnation& aHeld) {
+                   // NOTE: Only the VM said to be dead; others may merely be
+                   //       unknown here so far.
+                   return aHeld.mVm != aIncarnation.mVm || self->Lives(aHeld);
+                 }));
+  });
+}
+
+void Upkeep::CountEvidence(const EvidenceView& aEvidence)
+{
+  const std::lock_guard guard(mPrivate->mLock);
+  for (const auto& [key, cell] : aEvidence) {
+    EvidenceCell& total = mPrivate->mTotals[{ key.mModel, key.mVersion }];
+    total = total + cell;
+  }
+}
+
+std::vector<RolloutView> Upkeep::Rollouts() const
+{
+  const std::lock_guard guard(mPrivate->mLock);
+  return mPrivate->mRollouts;
+}
+
+} // namespace Acaciavale
--- /dev/null
+++ b/Libraries/LibServer/Upkeep.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "ServerParts.h"
+
+#include <Acaciavale/LibRollout/RolloutController.h>
+
+#include <memory>
+#include <string>
+
+namespace Acaciavale {
+
+/// Work in the background that keeps the records in the store in order: the
+/// parts of limits, the ledgers of VMs that are gone, claims left in doubt,
+/// service-level counters, and the roll-outs.
+class Upkeep
+{
+public:
+  Upkeep(ServerParts& aParts,
+         const std::string& aIncarnation,
+         std::uint64_t aSeed);
+  ~Upkeep();
+  Upkeep(const Upkeep&) = delete;
+  Upkeep& operator=(const Upkeep&) = delete;
+
+  void Start();
+  void Stop();
+
+  /// Closes a dead VM's ledger with what is held here, in the background.
+  void CloseLedgerOf(const Incarnation& aIncarnation);
+  /// Counts evidence for the roll-outs, which judge over all time.
+  void CountEvidence(const EvidenceView& aEvidence);
+  /// The roll-outs as last read.
+  std::vector<RolloutView> Rollouts() const;
+
+private:
+  struct Private;
+  std::unique_ptr<Private> mPrivate;
+};
+
+} // namespace Acaciavale
--- a/include/Acaciavale/LibBilling/Ledger.h
+++ b/include/Acaciavale/LibBilling/Ledger.h
@@ -45,6 +45,9 @@
 struct BillingOptions
 {
   std::string mVm;
+  /// Names this life of the VM; each incarnation's nonce starts with it, so
+  /// that others can tell whose life an entry is from. Empty: a random one.
+  std::string mLife{};
   std::size_t mHolders = 2; ///< Failure domains that must hold an entry.
   Duration mLedgerPeriod = kShortestLedgerPeriod;
 
