Find an entry of a long outage by its number

Cause: with no holders and no store, each waiting entry scanned all others. Change: binary search over the numbers, which are in order.

--- a/Benchmarks/LedgerBench.cpp
+++ b/Benchmarks/LedgerBench.cpp
@@ -6,6 +6,7 @@
 #include <benchmark/benchmark.h>
 #include <map>
 #include <mutex>
+#include <thread>
 
 /// The cost of bills: entries a second through Billing, bytes of a ledger and
 /// of the archive, and what a holder spends on an entry.
--- a/Libraries/LibBilling/Billing.cpp
+++ b/Libraries/LibBilling/Billing.cpp
@@ -23,6 +23,11 @@
   std::function<void(bool)> mDone;
 };
 
+bool PrecedesByNumber(const LedgerLine& aLeft, const LedgerLine& aRight)
+{
+  return aLeft.mNumber < aRight.mNumber;
+}
+
 void CallBack(const std::vector<Pending>& aPending, bool aDurable)
 {
   for (const Pending& pending : aPending) {
@@ -283,11 +288,10 @@
     const std::lock_guard lock(mMutex);
     const auto lacks = [&](const LedgerBook& aBook) {
       return aBook.mIncarnation == aEntry.mIncarnation &&
-             std::any_of(aBook.mPast.begin(),
-                         aBook.mPast.end(),
-                         [&](const LedgerLine& aLine) {
-                           return aLine.mNumber == aEntry.mNumber;
-                         });
+             std::binary_search(aBook.mPast.begin(),
+                                aBook.mPast.end(),
+                                LineOf(aEntry),
+                                PrecedesByNumber);
     };
     return !lacks(mBook) &&
            std::none_of(mClosedBooks.begin(), mClosedBooks.end(), lacks);
