--- a/Libraries/LibBilling/Billing.cpp
+++ b/Libraries/LibBilling/Billing.cpp
@@ -81,11 +81,20 @@
     , mReplicate(std::move(aReplicate))
     , mTellHolders(std::move(aTellHolders))
     , mRandom(aSeed)
-    , mBook(NewBook())
+    , mBook(FirstBook())
     , mLedger(mBook.mIncarnation)
   {
   }
 
+  LedgerBook FirstBook()
+  {
+    LedgerBook book = NewBook();
+    if (!mOptions.mNonce.empty()) {
+      book.mIncarnation.mNonce = mOptions.mNonce;
+    }
+    return book;
+  }
+
   LedgerBook NewBook()
   {
     ++mCounts.mIncarnations;
--- a/Tests/LibBilling/TestBilling.cpp
+++ b/Tests/LibBilling/TestBilling.cpp
@@ -214,6 +214,27 @@
   LONGS_EQUAL(0, CloseAbandonedLedgers(mStore, NobodyIsAlive).value());
 }
 
+TEST(Billing, KeepingTheBooksSettlesTheDeadAndLeavesTheLiving)
+{
+  const auto living = Vm("b");
+  CHECK(RecordAndWait(*living, Entry("gebeta")));
+  {
+    const auto vm = Vm("a");
+    CHECK(RecordAndWait(*vm, Entry("jadran")));
+  }
+  const Incarnation alive = living->CurrentIncarnation();
+  const auto isAlive = [&](const Incarnation& aIncarnation) {
+    return aIncarnation == alive;
+  };
+  CHECK(KeepBooks(mStore, mFirst, isAlive, false).has_value());
+  LONGS_EQUAL(1, mStore.mList("ledgers/")->size());
+  CHECK(KeepBooks(mStore, mSecond, isAlive, true).has_value());
+  CHECK(living->Flush().has_value());
+  CHECK(living->CurrentIncarnation() == alive);
+  LONGS_EQUAL(1, Totals().at("jadran").mRequests);
+  LONGS_EQUAL(1, Totals().at("gebeta").mRequests);
+}
+
 TEST(Billing, ReconcilingShowsAWrongLedger)
 {
   CHECK(mStore
