Drive real callers and record their history

Cause: the history checks need histories of the running system. Change: acaciavale-history drive plays seeded callers over several VMs and records calls and settings generations; check gathers runs, writes and bills and prints the violations of each promise. Stand-ins took a readable socket for a client that had gone, when the bytes were those of the request itself; they now look at the socket.

--- /dev/null
+++ b/Tests/History/Main.cpp
@@ -0,0 +1,182 @@
+// acaciavale-history drive | check: plays callers and records what they see,
+// and checks the promises on the history of it all.
+#include "Checks.h"
+#include "Driver.h"
+#include "Gather.h"
+
+#include <Acaciavale/LibCore/Time.h>
+
+#include <popt.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <optional>
+#include <thread>
+
+using namespace Acaciavale;
+using namespace Acaciavale::History;
+
+namespace {
+
+constexpr int kExitViolations = 1;
+constexpr int kExitUsage = 2;
+constexpr std::size_t kShownViolations = 5;
+constexpr std::chrono::seconds kBillsSettle{ 60 };
+constexpr std::chrono::milliseconds kBillsPause{ 500 };
+
+/// What the command line says.
+struct Options
+{
+  std::string mCommand;
+  std::string mStandIns;
+  std::string mSettings;
+  std::string mRecording;
+  int mLeavingGraceMilliseconds = 5000;
+  DriverOptions mDriver;
+};
+
+std::string Taken(const char* aText)
+{
+  return aText == nullptr ? "" : aText;
+}
+
+std::optional<Options> ParseOptions(int aCount, char** aArguments)
+{
+  Options options;
+  const char* standIns = nullptr;
+  const char* settings = nullptr;
+  const char* recording = nullptr;
+  const char* until = nullptr;
+  long seed = 1;
+  const std::array<poptOption, 9> table{
+    { // clang-format off
+    { "stand-ins", 0, POPT_ARG_STRING, &standIns, 0, "announce file of the stand-ins", "FILE" },
+    { "settings", 0, POPT_ARG_STRING, &settings, 0, "settings whose accounts call", "FILE" },
+    { "recording", 0, POPT_ARG_STRING, &recording, 0, "what drive writes and check reads", "FILE" },
+    { "until", 0, POPT_ARG_STRING, &until, 0, "drive ends once this file is there", "FILE" },
+    { "calls", 0, POPT_ARG_INT, &options.mDriver.mCalls, 0, "drive ends after so many calls", "N" },
+    { "threads", 0, POPT_ARG_INT, &options.mDriver.mThreads, 0, "callers at the same time", "N" },
+    { "seed", 0, POPT_ARG_LONG, &seed, 0, "seed of the calls", "S" },
+    { "leaving-grace", 0, POPT_ARG_INT, &options.mLeavingGraceMilliseconds, 0, "until a leaving must be known", "MILLISECONDS" },
+      // clang-format on
+      POPT_TABLEEND }
+  };
+  poptContext context = poptGetContext(
+    nullptr, aCount, const_cast<const char**>(aArguments), table.data(), 0);
+  const int result = poptGetNextOpt(context);
+  options.mCommand = Taken(poptGetArg(context));
+  while (const char* vm = poptGetArg(context)) {
+    options.mDriver.mVmFiles.emplace_back(vm);
+  }
+  poptFreeContext(context);
+  if (result != -1) {
+    std::fprintf(stderr, "acaciavale-history: %s\n", poptStrerror(result));
+    return {};
+  }
+  options.mStandIns = Taken(standIns);
+  options.mSettings = Taken(settings);
+  options.mRecording = Taken(recording);
+  options.mDriver.mUntilFile = Taken(until);
+  options.mDriver.mSeed = static_cast<std::uint64_t>(seed);
+  return options;
+}
+
+int DriveCommand(Options aOptions)
+{
+  if (aOptions.mDriver.mVmFiles.empty()) {
+    return kExitUsage;
+  }
+  aOptions.mDriver.mAccounts = AccountsOf(ReadSettingsFile(aOptions.mSettings));
+  const Recording recording = Drive(aOptions.mDriver);
+  std::printf("%zu calls recorded\n", recording.mCalls.size());
+  return WriteRecording(recording, aOptions.mRecording) ? 0 : 1;
+}
+
+/// Dead VMs' ledgers are closed by others, which takes its time.
+void WaitForBills(const std::string& aStandIns,
+                  Acaciavale::History::History& aHistory)
+{
+  const TimePoint end = MonotonicNow() + kBillsSettle;
+  while (!CheckBills(aHistory).empty() && MonotonicNow() < end) {
+    std::this_thread::sleep_for(kBillsPause);
+    aHistory.mBills = FetchBills(aStandIns);
+  }
+}
+
+void PrintCalls(const std::vector<Call>& aCalls)
+{
+  const auto count = [&](CallKind aKind, CallOutcome aOutcome) {
+    return std::count_if(aCalls.begin(), aCalls.end(), [&](const Call& aCall) {
+      return aCall.mKind == aKind && aCall.mOutcome == aOutcome;
+    });
+  };
+  const std::array<std::pair<const char*, CallKind>, 3> kinds{
+    { { "chat", CallKind::Chat },
+      { "look-ups", CallKind::LookUp },
+      { "not to be repeated", CallKind::NonRepeatable } }
+  };
+  for (const auto& [name, kind] : kinds) {
+    std::printf("requests, %s: %td answered, %td refused, %td lost\n",
+                name,
+                count(kind, CallOutcome::Answered),
+                count(kind, CallOutcome::Refused),
+                count(kind, CallOutcome::Lost));
+  }
+}
+
+int PrintViolations(const Acaciavale::History::History& aHistory)
+{
+  std::size_t all = 0;
+  for (const PromiseCheck& check : PromiseChecks()) {
+    const Violations violations = check.mCheck(aHistory);
+    std::printf("violations, %s: %zu\n", check.mPromise, violations.size());
+    const std::size_t shown = std::min(violations.size(), kShownViolations);
+    for (std::size_t at = 0; at < shown; ++at) {
+      std::printf("  %s\n", violations[at].mSentence.c_str());
+    }
+    all += violations.size();
+  }
+  return all == 0 ? 0 : kExitViolations;
+}
+
+int CheckCommand(const Options& aOptions)
+{
+  const GatherOptions gather{ aOptions.mStandIns,
+                              std::chrono::milliseconds(
+                                aOptions.mLeavingGraceMilliseconds) };
+  Acaciavale::History::History history =
+    Gather(gather,
+           ReadSettingsFile(aOptions.mSettings),
+           ReadRecording(aOptions.mRecording));
+  WaitForBills(aOptions.mStandIns, history);
+  PrintCalls(history.mCalls);
+  std::printf("runs at endpoints: %zu\n", history.mRuns.size());
+  for (const auto& [name, times] : CountFaults(aOptions.mStandIns)) {
+    std::printf("faults, %s: %d\n", name.c_str(), times);
+  }
+  return PrintViolations(history);
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const std::optional<Options> options = ParseOptions(aCount, aArguments);
+  if (!options) {
+    return kExitUsage;
+  }
+  try {
+    if (options->mCommand == "drive") {
+      return DriveCommand(*options);
+    }
+    if (options->mCommand == "check") {
+      return CheckCommand(*options);
+    }
+  } catch (const std::exception& exception) {
+    std::fprintf(stderr, "acaciavale-history: %s\n", exception.what());
+    return 1;
+  }
+  std::fprintf(stderr, "usage: acaciavale-history drive | check [OPTION…]\n");
+  return kExitUsage;
+}
--- /dev/null
+++ b/Tests/History/Workload.cpp
@@ -0,0 +1,58 @@
+#include "Workload.h"
+
+#include <Acaciavale/LibSettings/SettingsFiles.h>
+#include <Acaciavale/LibSettings/SettingsReader.h>
+
+#include <stdexcept>
+
+namespace Acaciavale::History {
+
+namespace {
+
+void ThrowOn(const Findings& aFindings)
+{
+  if (!aFindings.empty()) {
+    throw std::runtime_error(Describe(aFindings[0]));
+  }
+}
+
+std::vector<ServiceCall> ServiceCallsOf(const Settings& aSettings,
+                                        const ClientAccountSettings& aAccount)
+{
+  std::vector<ServiceCall> calls;
+  for (const std::string& name : aAccount.mServices) {
+    for (const ServiceRoute& route : aSettings.mServices.at(name).mRoutes) {
+      calls.push_back({ route.mMethod,
+                        "/v1/services/" + name + route.mPath,
+                        route.mRepeatable });
+    }
+  }
+  return calls;
+}
+
+} // namespace
+
+Settings ReadSettingsFile(const std::string& aFile)
+{
+  const FilesLoading loading = LoadSettingsFiles({ aFile });
+  ThrowOn(loading.mFindings);
+  SettingsReading reading = ReadSettings(loading.mFiles);
+  ThrowOn(reading.mFindings);
+  return *reading.mSettings;
+}
+
+std::vector<Account> AccountsOf(const Settings& aSettings)
+{
+  std::vector<Account> accounts;
+  for (const auto& [name, account] : aSettings.mAccounts) {
+    // NOTE: The keys of the examples are "key-" and the last part of the name.
+    const std::string key = "key-" + name.substr(name.rfind('/') + 1);
+    if (KeyMatches(account, key)) {
+      accounts.push_back(
+        { name, key, account.mModels, ServiceCallsOf(aSettings, account) });
+    }
+  }
+  return accounts;
+}
+
+} // namespace Acaciavale::History
--- a/Tests/StandIns/Control.cpp
+++ b/Tests/StandIns/Control.cpp
@@ -65,6 +65,11 @@
   return json{ { "writes", writes }, { "faults", faults } }.dump();
 }
 
+std::string SeedBody(std::uint64_t aSeed)
+{
+  return json{ { "seed", aSeed } }.dump();
+}
+
 std::string CountsBody(const KeyValueCalls& aCalls)
 {
   return json{
@@ -77,8 +82,12 @@
 
 } // namespace
 
-Control::Control(FaultBoard& aFaults, RunLog& aRuns, KeyValueService& aKeyValue)
-  : mFaults(aFaults)
+Control::Control(std::uint64_t aSeed,
+                 FaultBoard& aFaults,
+                 RunLog& aRuns,
+                 KeyValueService& aKeyValue)
+  : mSeed(aSeed)
+  , mFaults(aFaults)
   , mRuns(aRuns)
   , mKeyValue(aKeyValue)
 {
@@ -95,6 +104,8 @@
     co_await aExchange.Reply(200, RunsBody(mRuns, after));
   } else if (asked.mPath == "/history") {
     co_await aExchange.Reply(200, HistoryBody(mKeyValue, mFaults));
+  } else if (asked.mPath == "/seed") {
+    co_await aExchange.Reply(200, SeedBody(mSeed));
   } else if (asked.mPath == "/counts") {
     co_await aExchange.Reply(200, CountsBody(mKeyValue.Calls()));
   } else {
--- a/Tests/StandIns/Control.h
+++ b/Tests/StandIns/Control.h
@@ -12,11 +12,15 @@
 class Control
 {
 public:
-  Control(FaultBoard& aFaults, RunLog& aRuns, KeyValueService& aKeyValue);
+  Control(std::uint64_t aSeed,
+          FaultBoard& aFaults,
+          RunLog& aRuns,
+          KeyValueService& aKeyValue);
 
   Task Serve(Exchange& aExchange);
 
 private:
+  std::uint64_t mSeed;
   FaultBoard& mFaults;
   RunLog& mRuns;
   KeyValueService& mKeyValue;
--- a/Tests/StandIns/HttpListener.cpp
+++ b/Tests/StandIns/HttpListener.cpp
@@ -2,6 +2,8 @@
 //       the middle of an answer, which RESTinio gives no way to do.
 #include "HttpListener.h"
 
+#include <Acaciavale/LibCore/Log.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,8 +21,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <mutex>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -114,9 +118,12 @@
       try {
         co_await aHandler(*this);
       } catch (const std::exception& exception) {
-        mFailure = exception.what();
+        Log(LogLevel::Warning,
+            "stand-ins",
+            "A request could not be served.",
+            { { "path", mRequest.mPath }, { "error", exception.what() } });
       }
-      if (!mAnswered && mSocket.is_open()) {
+      if (!mAnswered && !Gone()) {
         co_await Reply(400, "{\"error\":\"malformed\"}");
       }
       StopWatching();
@@ -244,14 +251,32 @@
       return;
     }
     mWatching = true;
-    mSocket.async_wait(Tcp::socket::wait_read,
-                       [self = shared_from_this()](const ErrorCode& aError) {
-                         ErrorCode failed;
-                         if (!aError && self->mSocket.available(failed) == 0) {
-                           self->mGone = true;
-                           self->mTimer.cancel();
-                         }
-                       });
+    mSocket.async_wait(
+      Tcp::socket::wait_read,
+      [self = shared_from_this(), watch = mWatch](const ErrorCode& aError) {
+        if (!aError && watch == self->mWatch) {
+          self->mWatching = false;
+          self->LookForEnd();
+        }
+      });
+  }
+
+  /// NOTE: A watch may end early, by the bytes of this very request, which were
+  ///       read before it began. So it looks, and watches on.
+  void LookForEnd()
+  {
+    char next = 0;
+    const ssize_t bytes =
+      recv(mSocket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (bytes > 0) {
+      return;
+    }
+    if (bytes < 0 && errno == EAGAIN) {
+      StartWatching();
+      return;
+    }
+    mGone = true;
+    mTimer.cancel();
   }
 
   void StopWatching()
@@ -261,6 +286,7 @@
       mSocket.cancel(ignored);
     }
     mWatching = false;
+    ++mWatch;
   }
 
   void CloseOn(const ErrorCode& aError)
@@ -275,11 +301,11 @@
   asio::steady_timer mTimer;
   boost::beast::flat_buffer mBuffer;
   Request mRequest;
-  std::string mFailure;
   bool mAnswered = false;
   bool mGone = false;
   bool mWoken = false;
   bool mWatching = false;
+  std::uint64_t mWatch = 0; ///< Number of the watch that counts.
 };
 
 /// Holds the connection as long as it is served.
--- a/Tests/StandIns/World.cpp
+++ b/Tests/StandIns/World.cpp
@@ -22,7 +22,7 @@
   , mList(mFaults, [this] { return Listings(); })
   , mRatings(mDeployment, mFaults, aOptions.mSeed)
   , mWeights(mFaults)
-  , mControl(mFaults, mRuns, mKeyValue)
+  , mControl(aOptions.mSeed, mFaults, mRuns, mKeyValue)
 {
   const EngineWorld engineWorld{ mDeployment, mFaults, mRuns, aOptions.mSeed };
   for (const EngineSetup& setup : mDeployment.mEngines) {
