--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -1,24 +1,60 @@
 #include <Acaciavale/LibRouting/EndpointChoice.h>
+#include <Acaciavale/LibRouting/EndpointSubset.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Acaciavale {
 
 namespace {
 
+/// Endpoints that one choice scores at most, and how many of a larger pool it
+/// draws at random.
+constexpr std::size_t kMaxScored = 96;
+constexpr std::size_t kSampled = 48;
 /// Speed assumed of an endpoint when none of the pool was measured.
 constexpr double kUnknownSecondsPerRequest = 1;
 /// Wait in turnovers at an endpoint whose slots all seem just taken.
 constexpr double kFullRisk = 0.1;
+/// Wait in turnovers that long work accepts elsewhere before it takes a
+/// reserved endpoint.
+constexpr double kReservedWait = 1;
+/// Wait in turnovers that a retry accepts to leave a failure domain in which an
+/// attempt has failed.
+constexpr double kTriedDomainWait = 1;
+/// Wait in turnovers that a failed attempt costs.
+constexpr double kFailureWait = 2;
+/// Share of a prefix that its home is taken to have, as the cache's events come
+/// late, and what a home counts for beyond that: copies elsewhere cost room.
+constexpr double kHomePrefixShare = 0.8;
+constexpr double kHomeBonus = 1;
 /// How much longer than the best the session's own endpoint may take.
 constexpr double kPreferredSlack = 1.25;
 
+/// What is worked out once for all endpoints of a choice.
+struct ChoiceContext
+{
+  double mUsualSeconds = kUnknownSecondsPerRequest;
+  std::uint64_t mTriedDomains = 0;     ///< A bit for each failure domain.
+  const EndpointView* mHome = nullptr; ///< Of the prompt's prefix, or null.
+};
+
+std::uint64_t DomainBit(const EndpointView& aEndpoint)
+{
+  return 1ULL << (aEndpoint.mFailureDomain % 64);
+}
+
+bool IsTried(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
+{
+  return std::find(aQuery.mExcluded.begin(),
+                   aQuery.mExcluded.end(),
+                   aEndpoint.mIndex) != aQuery.mExcluded.end();
+}
+
 bool MayTake(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
 {
   return !aEndpoint.mLeaving && !aEndpoint.mEjected &&
-         std::find(aQuery.mExcluded.begin(),
-                   aQuery.mExcluded.end(),
-                   aEndpoint.mIndex) == aQuery.mExcluded.end();
+         (aQuery.mExcluded.empty() || !IsTried(aEndpoint, aQuery));
 }
 
 /// Everybody's requests there now. This VM's own are known. A report on the
@@ -52,32 +88,127 @@
 /// Expected seconds until a request sent there now is served.
 double Score(const EndpointView& aEndpoint,
              const EndpointQuery& aQuery,
-             double aUsualSeconds)
+             const ChoiceContext& aContext)
 {
   const double seconds = aEndpoint.mSecondsPerRequest > 0
                            ? aEndpoint.mSecondsPerRequest
-                           : aUsualSeconds;
-  const double slots =
-    std::max(1.0, aEndpoint.mSlots * (1 - aQuery.mReservedShare));
+                           : aContext.mUsualSeconds;
+  const double slots = std::max(1, aEndpoint.mSlots);
   const double turnover =
     aEndpoint.mTurnoverSeconds > 0 ? aEndpoint.mTurnoverSeconds : seconds;
   const double load =
     (EstimatedInFlight(aEndpoint, aQuery, turnover) + 1) / slots;
   double score = seconds + turnover * WaitingShare(load);
-  score -= aEndpoint.mPrefixShare * aQuery.mPrefillSeconds;
+  score += turnover * kFailureWait * aEndpoint.mErrorShare;
+  if (aEndpoint.mReserved && aQuery.mAvoidsReserved) {
+    score += turnover * kReservedWait;
+  }
+  if ((aContext.mTriedDomains & DomainBit(aEndpoint)) != 0) {
+    score += turnover * kTriedDomainWait;
+  }
+  double prefixShare = aEndpoint.mPrefixShare;
+  if (aContext.mHome == &aEndpoint) {
+    prefixShare = std::max(prefixShare, kHomePrefixShare) + kHomeBonus;
+  }
+  score -= prefixShare * aQuery.mPrefillSeconds;
   if (aEndpoint.mFailureDomain != aQuery.mFailureDomain) {
     score += aQuery.mCrossDomainSeconds;
   }
   return score;
 }
 
-double UsualSeconds(const std::vector<EndpointView>& aEndpoints)
+/// The endpoint that a prefix belongs to, whether or not it has it by now.
+const EndpointView* HomeOf(const std::vector<EndpointView>& aEndpoints,
+                           const EndpointQuery& aQuery)
+{
+  const EndpointView* home = nullptr;
+  std::uint64_t highest = 0;
+  for (const EndpointView& endpoint : aEndpoints) {
+    const std::uint64_t rank =
+      RendezvousRank(aQuery.mPrefixHash, endpoint.mKey);
+    if (rank >= highest && !endpoint.mLeaving && !endpoint.mEjected) {
+      home = &endpoint;
+      highest = rank;
+    }
+  }
+  return home;
+}
+
+/// The endpoints that a choice scores.
+struct Shortlist
+{
+  std::array<const EndpointView*, kMaxScored> mEndpoints{};
+  std::size_t mCount = 0;
+
+  void Add(const EndpointView& aEndpoint, const EndpointQuery& aQuery)
+  {
+    if (mCount < kMaxScored && MayTake(aEndpoint, aQuery)) {
+      mEndpoints[mCount++] = &aEndpoint;
+    }
+  }
+};
+
+/// Adds the endpoints that this request has a reason to prefer.
+void AddFavourites(Shortlist& aShortlist,
+                   const std::vector<EndpointView>& aEndpoints,
+                   const EndpointQuery& aQuery)
+{
+  if (!aQuery.mPreferred && aQuery.mPrefillSeconds <= 0) {
+    return;
+  }
+  for (const EndpointView& endpoint : aEndpoints) {
+    if (endpoint.mPrefixShare > 0 || aQuery.mPreferred == endpoint.mIndex) {
+      aShortlist.Add(endpoint, aQuery);
+    }
+  }
+}
+
+/// All endpoints of a small pool. Of a large one a random sample, which costs
+/// less time and keeps VMs apart, and those with a reason.
+Shortlist ShortlistOf(const std::vector<EndpointView>& aEndpoints,
+                      const EndpointQuery& aQuery,
+                      const EndpointView* aHome,
+                      Random& aRandom)
+{
+  Shortlist shortlist;
+  if (aEndpoints.size() > kMaxScored) {
+    for (std::size_t draw = 0; draw < kSampled; ++draw) {
+      shortlist.Add(aEndpoints[aRandom.Below(aEndpoints.size())], aQuery);
+    }
+    if (aHome != nullptr) {
+      shortlist.Add(*aHome, aQuery);
+    }
+    AddFavourites(shortlist, aEndpoints, aQuery);
+  }
+  if (shortlist.mCount == 0) {
+    for (const EndpointView& endpoint : aEndpoints) {
+      shortlist.Add(endpoint, aQuery);
+    }
+  }
+  return shortlist;
+}
+
+std::uint64_t TriedDomains(const std::vector<EndpointView>& aEndpoints,
+                           const EndpointQuery& aQuery)
+{
+  std::uint64_t domains = 0;
+  if (aQuery.mExcluded.empty()) {
+    return domains;
+  }
+  for (const EndpointView& endpoint : aEndpoints) {
+    domains |= IsTried(endpoint, aQuery) ? DomainBit(endpoint) : 0;
+  }
+  return domains;
+}
+
+double UsualSeconds(const Shortlist& aShortlist)
 {
   double sum = 0;
   double known = 0;
-  for (const EndpointView& endpoint : aEndpoints) {
-    sum += endpoint.mSecondsPerRequest;
-    known += endpoint.mSecondsPerRequest > 0 ? 1 : 0;
+  for (std::size_t index = 0; index < aShortlist.mCount; ++index) {
+    const double seconds = aShortlist.mEndpoints[index]->mSecondsPerRequest;
+    sum += seconds;
+    known += seconds > 0 ? 1 : 0;
   }
   return known > 0 ? sum / known : kUnknownSecondsPerRequest;
 }
@@ -90,13 +221,18 @@
 {
   EndpointDecision best{ std::nullopt, 0, "No endpoint may take the work." };
   std::optional<double> preferred;
-  const double usual = UsualSeconds(aEndpoints);
+  ChoiceContext context;
+  if (aQuery.mPrefixHash != 0) {
+    context.mHome = HomeOf(aEndpoints, aQuery);
+  }
+  const Shortlist shortlist =
+    ShortlistOf(aEndpoints, aQuery, context.mHome, aRandom);
+  context.mUsualSeconds = UsualSeconds(shortlist);
+  context.mTriedDomains = TriedDomains(aEndpoints, aQuery);
   std::uint64_t ties = 0;
-  for (const EndpointView& endpoint : aEndpoints) {
-    if (!MayTake(endpoint, aQuery)) {
-      continue;
-    }
-    const double score = Score(endpoint, aQuery, usual);
+  for (std::size_t index = 0; index < shortlist.mCount; ++index) {
+    const EndpointView& endpoint = *shortlist.mEndpoints[index];
+    const double score = Score(endpoint, aQuery, context);
     if (aQuery.mPreferred == endpoint.mIndex) {
       preferred = score;
     }
--- a/Programs/acaciavale/Commands.cpp
+++ b/Programs/acaciavale/Commands.cpp
@@ -1,6 +1,9 @@
 #include "Command.h"
 
+#include "BillsCommand.h"
+#include "ReportCommand.h"
 #include "RolloutCommand.h"
+#include "ServeCommand.h"
 #include "SettingsCommand.h"
 #include "VersionCommand.h"
 
@@ -9,9 +12,10 @@
 // Declared here and defined each in the file of its command.
 const std::vector<Command>& Commands()
 {
-  static const std::vector<Command> sCommands{ SettingsCommand(),
-                                               VersionCommand(),
-                                               RolloutCommand() };
+  static const std::vector<Command> sCommands{
+    ServeCommand(),   SettingsCommand(), VersionCommand(),
+    RolloutCommand(), ReportCommand(),   BillsCommand()
+  };
   return sCommands;
 }
 
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -16,9 +16,13 @@
 struct EndpointView
 {
   std::uint32_t mIndex = 0; ///< The caller's own number for it.
+  std::uint64_t mKey = 0;   ///< Hash of its address: the same on all VMs.
   std::uint32_t mFailureDomain = 0;
   bool mLeaving = false;
   bool mEjected = false;
+  /// Kept free of long work, so that urgent work finds a slot at once whatever
+  /// the reports say. See ReservedEndpoints.
+  bool mReserved = false;
   std::int32_t mOwnInFlight = 0;      ///< This VM's requests there, right now.
   std::int32_t mReportedInFlight = 0; ///< Everybody's, as last reported.
   std::int32_t mOwnInFlightAtReport = 0; ///< This VM's, when that was reported.
@@ -44,12 +48,11 @@
   std::vector<std::uint32_t> mExcluded;    ///< Tried already.
   /// What leaving this VM's failure domain costs.
   double mCrossDomainSeconds = 0.001;
-  /// Hash of the prompt's prefix; 0 is none. Endpoints nobody is known to cache
-  /// it on are then tried in an order that all VMs share.
+  /// Hash of the prompt's prefix; 0 is none. It has a home endpoint, by
+  /// rendezvous hashing over the keys, that all VMs prefer alike.
   std::uint64_t mPrefixHash = 0;
-  /// Share of each endpoint's slots that this request leaves to more urgent
-  /// ones.
-  double mReservedShare = 0;
+  /// Whether this is long work that leaves the reserved endpoints to others.
+  bool mAvoidsReserved = false;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
@@ -76,10 +79,8 @@
   auto operator<=>(const PoolEstimate&) const = default;
 };
 
-/// Sums a pool over the endpoints that take work. Where this VM's requests have
-/// grown since the last report, the others' are taken to have grown as much:
-/// callers spread over the VMs, so a burst reaches all. A fall counts for this
-/// VM alone, so the estimate errs on the high side.
+/// Sums a pool over the endpoints that take work: the last reports, corrected
+/// for what this VM has started and finished since.
 PoolEstimate EstimatePool(const std::vector<EndpointView>& aEndpoints,
                           std::uint32_t aLiveVms);
 
