Refuse short session keys, shared keys and control characters

Cause: a short session key can be guessed, a key shared by two accounts names neither, and control characters forge lines in the history or on a terminal. Change: findings for the three; author and reason are one line each. explain with account and model tells which versions the account may use and why not. A history check of four racing operators under lost answers.

--- a/Benchmarks/Settings.cpp
+++ b/Benchmarks/Settings.cpp
@@ -11,10 +11,18 @@
 
 namespace {
 
+/// A salt of its own for each account.
+std::string Salt(std::int64_t aAccount)
+{
+  const std::string digits = std::to_string(aAccount);
+  return std::string(8 - digits.size(), '0') + digits;
+}
+
 /// A tree of five versions and so many accounts in groups of ten.
 std::vector<SettingsFile> TreeWith(std::int64_t aAccounts)
 {
-  std::string text = "[deployment]\nname = bench\nsession-key = 00ff\n"
+  std::string text = "[deployment]\nname = bench\nsession-key = "
+                     "00ff00ff00ff00ff00ff00ff00ff00ff\n"
                      "[model m]\ninput-price = 1micros/Mtok\n"
                      "output-price = 1micros/Mtok\n[account]\nmodels = m\n";
   for (int version = 0; version < 5; ++version) {
@@ -23,10 +31,9 @@
   for (std::int64_t account = 0; account < aAccounts; ++account) {
     const std::string group = "[account g" + std::to_string(account / 10);
     text += account % 10 == 0 ? group + "]\nburst = 300\n" : "";
-    text +=
-      group + "/a" + std::to_string(account) +
-      "]\nburst = 200\nkey-salt = 00\nkey-hash = " + std::string(64, 'a') +
-      "\n";
+    text += group + "/a" + std::to_string(account) +
+            "]\nburst = 200\nkey-salt = " + Salt(account) +
+            "\nkey-hash = " + std::string(64, 'a') + "\n";
   }
   return { { "bench.ini", text } };
 }
--- a/Libraries/LibSettings/CrossChecks.cpp
+++ b/Libraries/LibSettings/CrossChecks.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace Acaciavale {
 
@@ -302,9 +303,52 @@
   }
 }
 
+/// The account that a key was first seen with, by salt and hash.
+using KeyOwners = std::map<std::pair<std::string, std::string>, std::string>;
+
+void CheckKeyOwner(Checking& aChecking,
+                   const TreeSection& aSection,
+                   const ClientAccountSettings& aAccount,
+                   KeyOwners& aOwners)
+{
+  if (aAccount.mKeyHash.empty()) {
+    return;
+  }
+  const auto [owner, isNew] = aOwners.insert(
+    { { aAccount.mKeySalt, aAccount.mKeyHash }, aAccount.mName });
+  if (!isNew) {
+    Report(aChecking,
+           PlaceOf(aChecking, aSection, "key-hash"),
+           "account " + aAccount.mName + " has the same key as account " +
+             owner->second);
+  }
+}
+
+void CheckSessionKeys(Checking& aChecking)
+{
+  constexpr std::size_t kLeastDigits = 32;
+  const auto found =
+    aChecking.mTree.mSections.find({ SectionKind::Deployment, "" });
+  if (found == aChecking.mTree.mSections.end()) {
+    return;
+  }
+  for (const char* name : { "session-key", "old-session-key" }) {
+    const auto value = found->second.mValues.find(name);
+    if (value != found->second.mValues.end() &&
+        value->second.mText.size() < kLeastDigits) {
+      Report(aChecking,
+             value->second.mPlace,
+             std::string(name) + " has " +
+               std::to_string(value->second.mText.size()) +
+               " digits; at least 32 are allowed");
+    }
+  }
+}
+
 void CheckAccounts(Checking& aChecking)
 {
   std::map<std::string, Place> seen;
+  KeyOwners owners;
   for (const TreeSection* section :
        LeavesOf(aChecking.mTree, SectionKind::Account)) {
     const std::string name = LastName(section->mName.mPath);
@@ -316,7 +360,10 @@
                ":" + std::to_string(first->second.mLine));
       continue;
     }
-    CheckAccount(aChecking, *section, aChecking.mSettings.mAccounts.at(name));
+    const ClientAccountSettings& account =
+      aChecking.mSettings.mAccounts.at(name);
+    CheckAccount(aChecking, *section, account);
+    CheckKeyOwner(aChecking, *section, account, owners);
   }
 }
 
@@ -454,6 +501,7 @@
 {
   Checking checking{ aTree, aSettings, aFindings };
   CheckRequired(checking);
+  CheckSessionKeys(checking);
   CheckModels(checking);
   CheckCascades(checking);
   CheckAccounts(checking);
--- a/Libraries/LibSettings/IniScan.cpp
+++ b/Libraries/LibSettings/IniScan.cpp
@@ -170,8 +170,9 @@
       { { aFile.mName, *line }, "the line is not valid UTF-8" });
     return true;
   }
-  if (aFile.mText.find('\0') != std::string::npos) {
-    aFindings.push_back({ { aFile.mName, 0 }, "the file holds a NUL byte" });
+  if (HasControl(aFile.mText)) {
+    aFindings.push_back(
+      { { aFile.mName, 0 }, "the file holds a control character" });
     return true;
   }
   return false;
--- a/Libraries/LibSettings/SettingsReport.cpp
+++ b/Libraries/LibSettings/SettingsReport.cpp
@@ -53,6 +53,24 @@
   return origins;
 }
 
+VersionPermission PermissionOf(const ClientAccountSettings& aAccount,
+                               const std::string& aModel,
+                               const VersionSettings& aVersion)
+{
+  VersionPermission permission{ aModel, aVersion.mName, false, "" };
+  if (aVersion.mState == VersionState::Withdrawn) {
+    permission.mReason = "withdrawn, takes no work";
+  } else if (!Permits(aAccount, aModel, aVersion.mName)) {
+    permission.mReason = "not permitted: models or versions do not list it";
+  } else if (aVersion.mState == VersionState::Retiring) {
+    permission.mReason = "permitted, but retiring: sessions that it has only";
+  } else {
+    permission.mMayStart = true;
+    permission.mReason = "permitted";
+  }
+  return permission;
+}
+
 /// The lines of a file where secrets are stated.
 std::vector<std::size_t> SecretLines(const SettingsTree& aTree,
                                      const std::string& aFile)
@@ -123,6 +141,32 @@
   return std::nullopt;
 }
 
+std::vector<VersionPermission> PermissionsOf(const Settings& aSettings,
+                                             const std::string& aAccount,
+                                             const std::string& aModel)
+{
+  std::vector<VersionPermission> permissions;
+  const auto account = aSettings.mAccounts.find(aAccount);
+  const auto model = aSettings.mModels.find(aModel);
+  if (account == aSettings.mAccounts.end() ||
+      model == aSettings.mModels.end()) {
+    return permissions;
+  }
+  for (const VersionSettings& version : model->second.mVersions) {
+    permissions.push_back(PermissionOf(account->second, aModel, version));
+  }
+  return permissions;
+}
+
+std::string PermissionsText(const std::vector<VersionPermission>& aList)
+{
+  std::string text;
+  for (const VersionPermission& one : aList) {
+    text += one.mModel + "/" + one.mVersion + ": " + one.mReason + "\n";
+  }
+  return text;
+}
+
 std::string FindingsText(const Findings& aFindings)
 {
   std::string text;
@@ -162,8 +206,15 @@
   return text;
 }
 
-std::string ExplainJson(const std::vector<Explained>& aExplained)
+std::string ExplainJson(const std::vector<Explained>& aExplained,
+                        const std::vector<VersionPermission>& aPermissions)
 {
+  Json permissions = Json::array();
+  for (const VersionPermission& one : aPermissions) {
+    permissions.push_back({ { "version", one.mModel + "/" + one.mVersion },
+                            { "may_start", one.mMayStart },
+                            { "reason", one.mReason } });
+  }
   Json settings = Json::array();
   for (const Explained& one : aExplained) {
     const SettingRow& row = one.mValue.mRow;
@@ -176,7 +227,7 @@
                          { "is_default", one.mValue.mChain.empty() },
                          { "chain", OriginsJson(one) } });
   }
-  return Rendered({ { "settings", settings } });
+  return Rendered({ { "settings", settings }, { "versions", permissions } });
 }
 
 std::string DifferenceText(const SettingsDifference& aDifference)
--- a/Libraries/LibSettings/SettingsStore.cpp
+++ b/Libraries/LibSettings/SettingsStore.cpp
@@ -187,9 +187,13 @@
 ErrorOr<void> CheckRequest(const ApplyRequest& aRequest)
 {
   for (const std::string& text : { aRequest.mAuthor, aRequest.mReason }) {
-    if (Trimmed(text).empty() || ValidUtf8Length(text) != text.size()) {
+    const bool isOneLine =
+      !HasControl(text) && text.find_first_of("\r\n") == std::string::npos;
+    if (Trimmed(text).empty() || ValidUtf8Length(text) != text.size() ||
+        !isOneLine) {
       return MakeError(ErrorCode::Invalid,
-                       "Author and reason must be stated, in UTF-8.");
+                       "Author and reason must be stated, each as one line of "
+                       "UTF-8.");
     }
   }
   const SettingsReading reading = ReadSettings(aRequest.mFiles);
--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -137,8 +137,12 @@
                                         "Callers' connections per VM.",
                                         1,
                                         kMostCount)));
-  aRows.push_back(Required(Row(
-    kKind, "session-key", Type::Secret, "", "Key that signs session tokens.")));
+  aRows.push_back(
+    Required(Row(kKind,
+                 "session-key",
+                 Type::Secret,
+                 "",
+                 "Key that signs session tokens, 32 digits or more.")));
   aRows.push_back(Row(kKind,
                       "old-session-key",
                       Type::Secret,
--- a/Libraries/LibSettings/Text.cpp
+++ b/Libraries/LibSettings/Text.cpp
@@ -96,6 +96,15 @@
   return text;
 }
 
+bool HasControl(const std::string& aText)
+{
+  return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
+    const auto byte = static_cast<unsigned char>(aCharacter);
+    const bool isAllowed = byte == '\t' || byte == '\r' || byte == '\n';
+    return (byte < 0x20 && !isAllowed) || byte == 0x7f;
+  });
+}
+
 std::size_t ValidUtf8Length(const std::string& aText)
 {
   std::size_t at = 0;
--- a/Libraries/LibSettings/Text.h
+++ b/Libraries/LibSettings/Text.h
@@ -15,6 +15,10 @@
 std::string Joined(const std::vector<std::string>& aParts,
                    const std::string& aSeparator);
 
+/// Whether it holds a control character other than a tab or a line end, which
+/// could forge lines or steer a terminal.
+bool HasControl(const std::string& aText);
+
 /// How many bytes from the start are whole, valid UTF-8.
 std::size_t ValidUtf8Length(const std::string& aText);
 
--- a/Programs/acaciavale/SettingsExplain.cpp
+++ b/Programs/acaciavale/SettingsExplain.cpp
@@ -88,6 +88,21 @@
   return aSections.empty() ? Explain(aTree, { std::nullopt, aKey }) : all;
 }
 
+/// Where both an account and a model are named: which versions it may use.
+std::vector<VersionPermission> PermissionsFor(
+  const std::vector<SettingsFile>& aFiles,
+  const Operands& aOperands)
+{
+  const auto account = aOperands.mSelectors.find("account");
+  const auto model = aOperands.mSelectors.find("model");
+  const SettingsReading reading = ReadSettings(aFiles);
+  if (account == aOperands.mSelectors.end() ||
+      model == aOperands.mSelectors.end() || !reading.mSettings) {
+    return {};
+  }
+  return PermissionsOf(*reading.mSettings, account->second, model->second);
+}
+
 } // namespace
 
 int SettingsExplain(const std::vector<std::string>& aArguments)
@@ -120,7 +135,10 @@
     std::fputs("acaciavale settings explain: no such section or key\n", stderr);
     return kExitFindings;
   }
-  std::fputs((*json ? ExplainJson(explained) : ExplainText(explained)).c_str(),
+  const auto permissions = PermissionsFor(source->mFiles, operands);
+  std::fputs((*json ? ExplainJson(explained, permissions)
+                    : ExplainText(explained) + PermissionsText(permissions))
+               .c_str(),
              stdout);
   return kExitDone;
 }
--- a/Tests/LibSettings/ExampleSettings.h
+++ b/Tests/LibSettings/ExampleSettings.h
@@ -11,7 +11,7 @@
 {
   return "[deployment]\n"
          "name = example\n"
-         "session-key = 00ff\n"
+         "session-key = 00ff00ff00ff00ff00ff00ff00ff00ff\n"
          "[model m]\n"
          "input-price = 100micros/Mtok\n"
          "output-price = 200micros/Mtok\n"
--- a/Tests/LibSettings/TestReading.cpp
+++ b/Tests/LibSettings/TestReading.cpp
@@ -30,7 +30,7 @@
   Settings settings = *ReadSettings(Files(ExampleText())).mSettings;
   DeploymentSettings deployment;
   deployment.mName = "example";
-  deployment.mSessionKey = "00ff";
+  deployment.mSessionKey = "00ff00ff00ff00ff00ff00ff00ff00ff";
   CHECK(settings.mDeployment == deployment);
   ClientAccountSettings account = settings.mAccounts.at("one");
   const ClientAccountSettings defaults;
--- a/Tests/LibSettings/TestStore.cpp
+++ b/Tests/LibSettings/TestStore.cpp
@@ -5,7 +5,9 @@
 #include <Acaciavale/LibSettings/SettingsStore.h>
 
 #include <LibPlatform/FakeKeyValueStore.h>
+#include <map>
 #include <rapidcheck.h>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -57,6 +59,48 @@
   return raced;
 }
 
+/// What one operator was told, by nonce.
+using Told = std::map<std::string, ErrorOr<SettingsRoot>>;
+
+/// Applies again and again to whatever generation is in force.
+Told RunOperator(const KeyValueStore& aStore, const std::string& aName)
+{
+  Told told;
+  for (int turn = 0; turn < 20; ++turn) {
+    const auto root = FetchRoot(aStore);
+    if (root) {
+      const std::string nonce = aName + std::to_string(turn);
+      told.emplace(nonce, Apply(aStore, Request(root->mGeneration, nonce)));
+    }
+  }
+  return told;
+}
+
+/// The generation that each nonce stands in the history with.
+std::map<std::string, std::int64_t> GenerationsOf(const KeyValueStore& aStore)
+{
+  std::map<std::string, std::int64_t> generations;
+  const auto history = FetchHistory(aStore).value();
+  CHECK(Verify(history).empty());
+  for (const SettingsRoot& root : history) {
+    CHECK(generations.insert({ root.mNonce, root.mGeneration }).second);
+  }
+  return generations;
+}
+
+/// Whether the history agrees with what an operator was told.
+bool Agrees(const std::map<std::string, std::int64_t>& aGenerations,
+            const std::string& aNonce,
+            const ErrorOr<SettingsRoot>& aTold)
+{
+  const auto found = aGenerations.find(aNonce);
+  if (aTold) {
+    return found != aGenerations.end() && found->second == aTold->mGeneration;
+  }
+  return aTold.error().mCode == ErrorCode::OutcomeUnknown ||
+         found == aGenerations.end();
+}
+
 } // namespace
 
 TEST_GROUP(Store)
@@ -156,6 +200,8 @@
   ApplyRequest request = Request(0, "a");
   request.mReason = " ";
   CHECK(Apply(mStore, request).error().mCode == ErrorCode::Invalid);
+  request.mReason = "fine\n2  2026-12-04  forged";
+  CHECK(Apply(mStore, request).error().mCode == ErrorCode::Invalid);
   request = Request(0, "b");
   request.mFiles[0].mText += "burst = many\n";
   CHECK(Apply(mStore, request).error().mCode == ErrorCode::Invalid);
@@ -212,3 +258,32 @@
   LONGS_EQUAL(1, mFake.Counts().mReads - before.mReads);
   LONGS_EQUAL(3, mFake.Counts().mWrites - before.mWrites);
 }
+
+TEST(Store, TheHistoryAgreesWithWhatRacingOperatorsWereTold)
+{
+  CHECK(Apply(mStore, Request(0, "first")).has_value());
+  FakeStoreFaults faults;
+  faults.mLoseAnswers = 15;
+  faults.mLoseRequests = 15;
+  faults.mFailWrites = 10;
+  faults.mFailReads = 10;
+  mFake.SetFaults(faults);
+  std::vector<Told> told(4);
+  std::vector<std::thread> operators;
+  operators.reserve(told.size());
+  for (std::size_t name = 0; name < told.size(); ++name) {
+    operators.emplace_back([this, &told, name] {
+      told[name] = RunOperator(mStore, std::to_string(name) + "-");
+    });
+  }
+  for (std::thread& thread : operators) {
+    thread.join();
+  }
+  mFake.SetFaults({});
+  const auto generations = GenerationsOf(mStore);
+  for (const Told& one : told) {
+    for (const auto& [nonce, answer] : one) {
+      CHECK_TEXT(Agrees(generations, nonce, answer), nonce.c_str());
+    }
+  }
+}
--- a/Tests/LibSettings/TestTree.cpp
+++ b/Tests/LibSettings/TestTree.cpp
@@ -60,12 +60,30 @@
                   ExplainText(Explain(tree, { kOne, "priority" })).c_str());
 }
 
+TEST(Tree, ExplainTellsWhichVersionsAnAccountMayUse)
+{
+  auto files = Files(ExampleText() + "models = m\nversions = m/b\n");
+  const auto text = [&] {
+    return PermissionsText(
+      PermissionsOf(*ReadSettings(files).mSettings, "one", "m"));
+  };
+  STRCMP_EQUAL("m/a: not permitted: models or versions do not list it\n"
+               "m/b: permitted\n",
+               text().c_str());
+  files = Files(ExampleText() + "[version m/c]\nstate = withdrawn\n"
+                                "[version m/d]\nstate = retiring\n");
+  STRCMP_EQUAL("m/a: permitted\nm/b: permitted\n"
+               "m/c: withdrawn, takes no work\n"
+               "m/d: permitted, but retiring: sessions that it has only\n",
+               text().c_str());
+}
+
 TEST(Tree, SecretsAreNeverShown)
 {
   const auto files = Files(ExampleText());
   const SettingsTree tree = ReadSettingsTree(files).mTree;
   auto changed = files;
-  changed[0].mText.replace(changed[0].mText.find("00ff"), 4, "00ee");
+  changed[0].mText.replace(changed[0].mText.find("00ff00ff"), 4, "00ee");
   const std::string all = ExplainText(Explain(tree, {})) +
                           ExplainJson(Explain(tree, {})) + FilesText(files) +
                           FilesJson(files) +
--- a/include/Acaciavale/LibSettings/SettingsReport.h
+++ b/include/Acaciavale/LibSettings/SettingsReport.h
@@ -38,10 +38,30 @@
 std::optional<SectionName> FindAccountSection(const SettingsTree& aTree,
                                               const std::string& aAccount);
 
+/// Whether an account may use a version, and by which rule.
+struct VersionPermission
+{
+  std::string mModel;
+  std::string mVersion;
+  bool mMayStart = false; ///< A new session may go there.
+  std::string mReason;
+
+  auto operator<=>(const VersionPermission&) const = default;
+};
+
+/// Each version of the model, as the account stands to it.
+std::vector<VersionPermission> PermissionsOf(const Settings& aSettings,
+                                             const std::string& aAccount,
+                                             const std::string& aModel);
+
+std::string PermissionsText(const std::vector<VersionPermission>& aList);
+
 std::string FindingsText(const Findings& aFindings);
 std::string FindingsJson(const Findings& aFindings);
 std::string ExplainText(const std::vector<Explained>& aExplained);
-std::string ExplainJson(const std::vector<Explained>& aExplained);
+std::string ExplainJson(
+  const std::vector<Explained>& aExplained,
+  const std::vector<VersionPermission>& aPermissions = {});
 std::string DifferenceText(const SettingsDifference& aDifference);
 /// The generation is the one that the files are compared with.
 std::string DifferenceJson(const SettingsDifference& aDifference,
