--- a/Libraries/LibRouting/CandidateScore.cpp
+++ b/Libraries/LibRouting/CandidateScore.cpp
@@ -17,6 +17,9 @@
 constexpr double kToleratedErrorShare = 0.1;
 constexpr double kPriorErrorAnswers = 20;
 /// Most ratings that the stages' own evidence counts for in their cascade.
+/// Share of a stage's bad answers that go on to the next one, before any were
+/// seen: a stage is less sure of a bad answer than of a good one.
+constexpr double kPriorBadAnswersCaught = 0.5;
 constexpr double kMaxCascadePriorRatings = 20;
 
 /// Ratings, seen or assumed: a beta distribution by its two counts.
@@ -117,6 +120,12 @@
   aCandidate.mQualityUpperBound = UpperBound(aQuality.mGood, aQuality.mRated);
 }
 
+/// Quality of the answers that a stage keeps, before any were rated.
+double AcceptedQuality(const StageScore& aStage)
+{
+  return 1 - (1 - aStage.mQuality.Mean()) * (1 - kPriorBadAnswersCaught);
+}
+
 /// A cascade's quality starts from the mixture of its stages and moves to what
 /// its own rated answers say.
 void ScoreCascade(VersionCandidate& aCandidate,
@@ -134,7 +143,8 @@
     const bool isLast = index + 1 == aScores.size();
     cost += reached * static_cast<double>(stage.mCost.mMicros);
     latency += reached * ToSeconds(stage.mLatency);
-    mean += reached * (isLast ? 1 : 1 - escalation) * stage.mQuality.Mean();
+    mean += isLast ? reached * stage.mQuality.Mean()
+                   : reached * (1 - escalation) * AcceptedQuality(stage);
     priorRatings = std::min(priorRatings, stage.mQuality.mRated);
     aCandidate.mLongestLatency += stage.mLatency;
     reached *= escalation;
--- a/Libraries/LibRouting/VersionChoice.cpp
+++ b/Libraries/LibRouting/VersionChoice.cpp
@@ -104,17 +104,17 @@
            aView.mExplorationBudget;
 }
 
-/// Largest share of trials at which the mixture of the chosen, at its lower
-/// bound, and the tried, at its mean, still meets the target.
+/// Largest share of trials at which the mixture of the chosen and the tried is
+/// expected to meet the target.
 double TrialShare(const VersionCandidate& aTried,
                   const VersionCandidate& aChosen,
                   double aMaxShare,
                   double aQualityTarget)
 {
-  const double slack = aChosen.mQualityLowerBound - aQualityTarget;
-  const double loss = aChosen.mQualityLowerBound - aTried.mQualityMean;
-  if (loss <= 0) {
-    return aMaxShare;
+  const double slack = aChosen.mQualityMean - aQualityTarget;
+  const double loss = aChosen.mQualityMean - aTried.mQualityMean;
+  if (slack <= 0 || loss <= 0) {
+    return slack <= 0 ? 0 : aMaxShare;
   }
   return std::clamp(slack / loss, 0.0, aMaxShare);
 }
@@ -227,15 +227,8 @@
   ExcludeBelowTarget(target, candidates);
 
   VersionCandidate* chosen = Best(candidates, Exclusion::None, IsCheaper);
-  if (chosen != nullptr) {
-    decision.mReason = "Least expected cost at the quality target.";
-    VersionCandidate* tried =
-      MaybeTry(candidates, chosen, aProfile, aView, target, aRandom);
-    if (tried != chosen) {
-      chosen = tried;
-      decision.mReason = "Trial of a cheaper version within its budget.";
-    }
-  } else if (aProfile.mAcceptBelowTarget) {
+  decision.mReason = "Least expected cost at the quality target.";
+  if (chosen == nullptr && aProfile.mAcceptBelowTarget) {
     chosen = Best(candidates, Exclusion::BelowQualityTarget, IsSurer);
     decision.mReason = "None is sure to meet the quality target; the surest.";
   }
@@ -243,6 +236,12 @@
     decision.mReason = RefusalReason(candidates);
     return decision;
   }
+  VersionCandidate* tried =
+    MaybeTry(candidates, chosen, aProfile, aView, target, aRandom);
+  if (tried != chosen) {
+    chosen = tried;
+    decision.mReason = "Trial of a cheaper version within its budget.";
+  }
   for (VersionCandidate& candidate : candidates) {
     if (&candidate != chosen && IsOpen(candidate)) {
       candidate.mExclusion = Exclusion::Dearer;
