--- a/Benchmarks/DecisionMeasureParts/CostRow.cpp
+++ b/Benchmarks/DecisionMeasureParts/CostRow.cpp
@@ -16,7 +16,10 @@
 namespace {
 
 constexpr double kTarget = 0.85;
-constexpr std::size_t kRequests = 100'000;
+/// Half an hour of traffic from no evidence at all, and the half hour after.
+constexpr std::size_t kRequestsPerPart = 100'000;
+constexpr std::size_t kParts = 2;
+constexpr const char* kPartNames[kParts] = { "first 30 min", "next 30 min" };
 constexpr double kRequestsPerSecond = 58;
 constexpr double kRatedShare = 0.1;
 constexpr double kRatingDelaySeconds = 30;
@@ -153,7 +156,6 @@
   double mCost = 0;
   double mOracleCost = 0;
   double mBestCost = 0;
-  double mCheapestCost = 0;
   double mWorstKindQuality = 1;
 };
 
@@ -166,25 +168,36 @@
   {
   }
 
-  CostResult Run()
+  std::vector<CostResult> Run()
   {
-    for (std::size_t request = 0; request < kRequests; ++request) {
+    std::vector<CostResult> parts;
+    for (std::size_t part = 0; part < kParts; ++part) {
+      mResult = {};
+      mTotals.clear();
+      RunPart(part * kRequestsPerPart);
+      parts.push_back(mResult);
+    }
+    return parts;
+  }
+
+private:
+  void RunPart(std::size_t aFirst)
+  {
+    for (std::size_t request = aFirst; request < aFirst + kRequestsPerPart;
+         ++request) {
       mNow = static_cast<double>(request) / kRequestsPerSecond;
       TakeRatings();
       const Kind& kind = mMix.mKinds[mRandom.Below(mMix.mKinds.size())];
       Serve(kind);
       mResult.mOracleCost += OracleCost(kind);
       mResult.mBestCost += CostOf(kModels - 1);
-      mResult.mCheapestCost += CostOf(0);
     }
     for (const auto& [name, totals] : mTotals) {
       mResult.mWorstKindQuality =
         std::min(mResult.mWorstKindQuality, totals.mGood / totals.mRequests);
     }
-    return mResult;
   }
 
-private:
   TimePoint Now() const
   {
     return TimePoint{} + std::chrono::duration_cast<Duration>(
@@ -273,48 +286,69 @@
 
 } // namespace
 
+namespace {
+
+void PrintPart(const std::string& aSize,
+               const std::string& aPart,
+               const CostResult& aSum)
+{
+  PrintFigure("cost",
+              aSize,
+              "cost / always best, " + aPart,
+              aSum.mCost / aSum.mBestCost,
+              Bound::AtMost,
+              0.5);
+  PrintFigure("cost",
+              aSize,
+              "cost / oracle, " + aPart,
+              aSum.mCost / aSum.mOracleCost,
+              Bound::AtMost,
+              1.1);
+  PrintFigure("cost",
+              aSize,
+              "good share, worst kind and seed, " + aPart,
+              aSum.mWorstKindQuality,
+              Bound::AtLeast,
+              kTarget);
+  PrintFigure("cost",
+              aSize,
+              "oracle / always best, " + aPart,
+              aSum.mOracleCost / aSum.mBestCost);
+}
+
+void MeasureMix(const Mix& aMix)
+{
+  std::vector<CostResult> sums(kParts);
+  for (const std::uint64_t seed : kSeeds) {
+    const std::vector<CostResult> parts = CostRun(aMix, seed).Run();
+    for (std::size_t part = 0; part < kParts; ++part) {
+      CostResult& sum = sums[part];
+      sum.mCost += parts[part].mCost;
+      sum.mOracleCost += parts[part].mOracleCost;
+      sum.mBestCost += parts[part].mBestCost;
+      sum.mWorstKindQuality =
+        std::min(sum.mWorstKindQuality, parts[part].mWorstKindQuality);
+    }
+  }
+  for (std::size_t part = 0; part < kParts; ++part) {
+    PrintPart(aMix.mName, kPartNames[part], sums[part]);
+  }
+  PrintFigure("cost",
+              aMix.mName,
+              "always cheapest / always best",
+              CostOf(0) / CostOf(kModels - 1));
+  PrintFigure("cost",
+              aMix.mName,
+              "good share, always cheapest, worst kind",
+              CheapestQuality(aMix));
+}
+
+} // namespace
+
 void MeasureCost()
 {
   for (const Mix& mix : Mixes()) {
-    CostResult sum;
-    double worstQuality = 1;
-    for (const std::uint64_t seed : kSeeds) {
-      const CostResult result = CostRun(mix, seed).Run();
-      sum.mCost += result.mCost;
-      sum.mOracleCost += result.mOracleCost;
-      sum.mBestCost += result.mBestCost;
-      sum.mCheapestCost += result.mCheapestCost;
-      worstQuality = std::min(worstQuality, result.mWorstKindQuality);
-    }
-    const std::string& size = mix.mName;
-    PrintFigure("cost",
-                size,
-                "cost / always best",
-                sum.mCost / sum.mBestCost,
-                Bound::AtMost,
-                0.5);
-    PrintFigure("cost",
-                size,
-                "cost / oracle",
-                sum.mCost / sum.mOracleCost,
-                Bound::AtMost,
-                1.1);
-    PrintFigure("cost",
-                size,
-                "good share, worst kind and seed",
-                worstQuality,
-                Bound::AtLeast,
-                kTarget);
-    PrintFigure(
-      "cost", size, "oracle / always best", sum.mOracleCost / sum.mBestCost);
-    PrintFigure("cost",
-                size,
-                "always cheapest / always best",
-                sum.mCheapestCost / sum.mBestCost);
-    PrintFigure("cost",
-                size,
-                "good share, always cheapest, worst kind",
-                CheapestQuality(mix));
+    MeasureMix(mix);
   }
 }
 
--- a/Benchmarks/DecisionMeasureParts/RolloutRow.cpp
+++ b/Benchmarks/DecisionMeasureParts/RolloutRow.cpp
@@ -24,10 +24,10 @@
 constexpr double kTurnedErrors = 0.3;
 constexpr double kTurnedQuality = 0.7; ///< Against a target of 0.8.
 constexpr std::size_t kTurnSeconds = 600;
-constexpr std::size_t kLongestSeconds = 4 * 3600;
+constexpr std::size_t kLongestSeconds = 14'400;
 constexpr std::size_t kTurnSeeds = 100;
 constexpr std::size_t kGoodSeeds = 400;
-constexpr double kGoodSeconds = 2 * 3600;
+constexpr double kGoodSeconds = 7200;
 /// The canary looks at the end of each step and goes by the shares of it.
 constexpr std::size_t kCanaryStepSeconds = 1800;
 constexpr std::size_t kShortCanaryStepSeconds = 600;
--- a/Libraries/LibRouting/CandidateScore.cpp
+++ b/Libraries/LibRouting/CandidateScore.cpp
@@ -36,6 +36,7 @@
 {
   Money mCost;
   RatedShare mQuality;
+  double mRatings = 0; ///< Seen, the prior not counted.
   Duration mLatency{};
 };
 
@@ -86,6 +87,7 @@
   StageScore score;
   score.mCost = Charge(version.mInputPrice, aProfile.mPromptTokens) +
                 Charge(version.mOutputPrice, aProfile.mExpectedOutputTokens);
+  score.mRatings = cell.mRated;
   score.mQuality.mRated = cell.mRated + priorWeight;
   score.mQuality.mGood = cell.mGood + version.mPriorQuality * priorWeight;
   score.mQuality.mGood *= 1 - MissingByErrors(cell);
@@ -113,8 +115,11 @@
     aProfile.mTarget, aCandidate.mStages, aProfile.mKind);
 }
 
-void SetQuality(VersionCandidate& aCandidate, const RatedShare& aQuality)
+void SetQuality(VersionCandidate& aCandidate,
+                const RatedShare& aQuality,
+                double aRatings)
 {
+  aCandidate.mRatings = aRatings;
   aCandidate.mQualityLowerBound = LowerBound(aQuality.mGood, aQuality.mRated);
   aCandidate.mQualityMean = aQuality.Mean();
   aCandidate.mQualityUpperBound = UpperBound(aQuality.mGood, aQuality.mRated);
@@ -153,7 +158,8 @@
   aCandidate.mExpectedLatency = FromSeconds(latency);
   SetQuality(aCandidate,
              RatedShare{ aCell.mGood + mean * priorRatings,
-                         aCell.mRated + priorRatings });
+                         aCell.mRated + priorRatings },
+             aCell.mRated);
 }
 
 } // namespace
@@ -176,7 +182,7 @@
   aCandidate.mExpectedCost = only.mCost;
   aCandidate.mExpectedLatency = only.mLatency;
   aCandidate.mLongestLatency = only.mLatency;
-  SetQuality(aCandidate, only.mQuality);
+  SetQuality(aCandidate, only.mQuality, only.mRatings);
   return aCandidate;
 }
 
--- a/Libraries/LibRouting/EndpointHealth.cpp
+++ b/Libraries/LibRouting/EndpointHealth.cpp
@@ -137,7 +137,7 @@
   if (IsEjected(aHealth, aNow)) {
     return true;
   }
-  return IsOnProbation(aHealth) && aOwnInFlight > aHealth.mConsecutiveSuccesses;
+  return IsOnProbation(aHealth) && aOwnInFlight > 0;
 }
 
 std::vector<EndpointHealth> WithEjections(std::vector<EndpointHealth> aPool,
--- a/Libraries/LibRouting/VersionChoice.cpp
+++ b/Libraries/LibRouting/VersionChoice.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Ratings after which a trial is bounded by its expected quality alone.
+constexpr double kRatingsForFullTrial = 30;
+
 using Candidates = std::vector<VersionCandidate>;
 
 bool IsOpen(const VersionCandidate& aCandidate)
@@ -108,15 +111,17 @@
 /// expected to meet the target.
 double TrialShare(const VersionCandidate& aTried,
                   const VersionCandidate& aChosen,
-                  double aMaxShare,
+                  double aFirstShare,
                   double aQualityTarget)
 {
+  const double known = std::min(1.0, aTried.mRatings / kRatingsForFullTrial);
+  const double mostShare = aFirstShare + (1 - aFirstShare) * known;
   const double slack = aChosen.mQualityMean - aQualityTarget;
   const double loss = aChosen.mQualityMean - aTried.mQualityMean;
   if (slack <= 0 || loss <= 0) {
-    return slack <= 0 ? 0 : aMaxShare;
+    return slack <= 0 ? 0 : mostShare;
   }
-  return std::clamp(slack / loss, 0.0, aMaxShare);
+  return std::clamp(slack / loss, 0.0, mostShare);
 }
 
 /// Now and then a cheaper candidate in the place of the chosen one, so that
--- a/Tests/LibAdmission/TestAdmission.cpp
+++ b/Tests/LibAdmission/TestAdmission.cpp
@@ -125,3 +125,29 @@
     }
   }));
 }
+
+TEST(Admission, AVmAdmitsUpToItsOwnPartWhateverItHears)
+{
+  const Settings settings = OneAccount(100, 100, 100);
+  AdmissionControl control;
+  AdmissionQuery query = Query(Priority::Batch, 50);
+  query.mLoad.mOwnSlots = 5;
+  query.mLoad.mOwnInFlight = 4;
+  CHECK(control.Start(settings, query, TimePoint{}).mVerdict ==
+        AdmissionVerdict::Admit);
+  query.mLoad.mOwnInFlight = 5;
+  CHECK(control.Start(settings, query, TimePoint{}).mVerdict ==
+        AdmissionVerdict::Overloaded);
+}
+
+TEST(Admission, WithoutAPartOfTheLimitsNothingStarts)
+{
+  const Settings settings = OneAccount(100, 100, 100);
+  AdmissionControl control;
+  AdmissionQuery query = Query(Priority::Urgent, 0);
+  query.mLimitShare = 0;
+  const AdmissionDecision decision =
+    control.Start(settings, query, TimePoint{});
+  CHECK(decision.mVerdict == AdmissionVerdict::OverRate);
+  CHECK(decision.mRetryAfter > Duration::zero());
+}
--- a/Tests/LibRouting/TestEndpointChoice.cpp
+++ b/Tests/LibRouting/TestEndpointChoice.cpp
@@ -88,3 +88,41 @@
     }
   }));
 }
+
+TEST(EndpointChoice, LongWorkLeavesReservedEndpointsFree)
+{
+  std::vector<EndpointView> pool = Pool(2);
+  pool[0].mReserved = true;
+  pool[1].mOwnInFlight = 4;
+  EndpointQuery query;
+  CHECK(Choose(pool, query).mIndex == 0U);
+  query.mAvoidsReserved = true;
+  CHECK(Choose(pool, query).mIndex == 1U);
+  pool[1].mEjected = true;
+  CHECK(Choose(pool, query).mIndex == 0U);
+}
+
+TEST(EndpointChoice, ARetryLeavesTheFailureDomainThatFailed)
+{
+  std::vector<EndpointView> pool = Pool(3);
+  pool[2].mFailureDomain = 1;
+  pool[2].mOwnInFlight = 3;
+  EndpointQuery query;
+  query.mExcluded = { 0 };
+  CHECK(Choose(pool, query).mIndex == 2U);
+}
+
+TEST(EndpointChoice, ThePrefixHomeIsTakenUntilItIsTooBusy)
+{
+  std::vector<EndpointView> pool = Pool(6);
+  for (EndpointView& view : pool) {
+    view.mKey = view.mIndex + 1;
+  }
+  EndpointQuery query;
+  query.mPrefillSeconds = 0.5;
+  query.mPrefixHash = 99;
+  const auto home = Choose(pool, query, 1).mIndex;
+  CHECK(home == Choose(pool, query, 2).mIndex);
+  pool[*home].mOwnInFlight = 40;
+  CHECK(Choose(pool, query).mIndex != home);
+}
--- a/Tests/LibRouting/TestVersionChoice.cpp
+++ b/Tests/LibRouting/TestVersionChoice.cpp
@@ -157,3 +157,45 @@
               Choose(profile, settings, kNoEvidence, rollouts, seed));
   }));
 }
+
+TEST(VersionChoice, ATrialStartsSmallAndEndsWithItsBudgetOrItsHope)
+{
+  Settings settings = MakeSettings();
+  for (VersionSettings& version : settings.mModels["small"].mVersions) {
+    version.mPriorQuality = 0.85;
+    version.mPriorWeight = 20;
+  }
+  const auto trials = [&](const EvidenceView& aEvidence) {
+    int count = 0;
+    for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+      const VersionDecision decision =
+        Choose(Profile("both"), settings, aEvidence, kNoRollouts, seed);
+      count += decision.mStages.front() == CascadeStage{ "small", "1" } &&
+               decision.mStages.size() == 1;
+    }
+    return count;
+  };
+  const int first = trials({});
+  CHECK(first > 0 && first < 150);
+  const EvidenceView promising{ { { "small", "1", "summary" },
+                                  Rated(27, 30) } };
+  CHECK(trials(promising) > 900);
+  const EvidenceView hopeless{ { { "small", "1", "summary" },
+                                 Rated(100, 200) } };
+  LONGS_EQUAL(0, trials(hopeless));
+  const EvidenceView overBudget{ { { "small", "1", "summary" },
+                                   Rated(3172, 4000) } };
+  LONGS_EQUAL(0, trials(overBudget));
+}
+
+TEST(VersionChoice, UrgentWorkIsNoTrial)
+{
+  const EvidenceView evidence{ { { "small", "1", "summary" }, Rated(27, 30) } };
+  RequestProfile profile = Profile("both");
+  profile.mPriority = Priority::Urgent;
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    const VersionDecision decision =
+      Choose(profile, MakeSettings(), evidence, kNoRollouts, seed);
+    CHECK(decision.mStages == (std::vector<CascadeStage>{ { "large", "2" } }));
+  }
+}
--- a/include/Acaciavale/LibRouting/VersionChoice.h
+++ b/include/Acaciavale/LibRouting/VersionChoice.h
@@ -55,6 +55,7 @@
   double mQualityLowerBound = 0;
   double mQualityUpperBound = 0;
   double mQualityMean = 0;
+  double mRatings = 0; ///< Seen, the prior not counted.
   Duration mExpectedLatency{}; ///< Counts later stages by their likelihood.
   Duration mLongestLatency{};  ///< If every stage runs.
   Exclusion mExclusion = Exclusion::None;
@@ -95,9 +96,9 @@
   const std::vector<RolloutView>& mRollouts;
   /// Versions that at least one live endpoint has loaded.
   const std::vector<CascadeStage>& mLoaded;
-  /// Largest share of requests that may try a cheaper version whose quality is
-  /// not known yet, outside roll-outs.
-  double mExplorationShare = 0.9;
+  /// Largest share of requests that may try a cheaper candidate, outside
+  /// roll-outs, before it has any rating. The share grows with its ratings.
+  double mExplorationShare = 0.1;
   /// Bad answers, beyond those that the target allows, that the trial of one
   /// version for one kind of request may cost.
   double mExplorationBudget = 20;
