Refuse new work on an isolated VM, and keep the books by one function

Cause: a VM that hears neither the store nor a peer could serve a withdrawn version without end; closing of ledgers stood in two places. Change: a VM that has heard nobody for the setting's time refuses new work; the server calls KeepBooks; one field names a VM's life in its bills. Conclusion: a long outage of the store alone stops nothing, since peers hear each other.

--- a/Libraries/LibServer/Caller.cpp
+++ b/Libraries/LibServer/Caller.cpp
@@ -59,6 +59,24 @@
                   std::chrono::seconds(1) };
 }
 
+/// Whether this VM may have missed a change of settings: it has heard neither
+/// the store nor a peer that sees the store for longer than settings allow.
+bool IsIsolated(const ServerParts& aParts, const Settings& aSettings)
+{
+  return !aParts.mFixedSettings && MonotonicNow() - aParts.mLastHeard.load() >
+                                     aSettings.mDeployment.mIsolatedServing;
+}
+
+Problem Isolated()
+{
+  return Problem{ 503,
+                  "vm-isolated",
+                  "This VM hears neither the store nor another VM.",
+                  "Use another address of /v1/entries.",
+                  Ran::No,
+                  std::chrono::seconds(5) };
+}
+
 Problem WrongKey()
 {
   return Problem{ 401,
@@ -80,6 +98,9 @@
   }
   Caller caller;
   caller.mSettings = aParts.CurrentSettings();
+  if (caller.mSettings && IsIsolated(aParts, *caller.mSettings)) {
+    return tl::make_unexpected(Isolated());
+  }
   caller.mRequest = std::move(aRequestId);
   caller.mStart = MonotonicNow();
   if (!caller.mSettings) {
--- a/Libraries/LibServer/Refresher.cpp
+++ b/Libraries/LibServer/Refresher.cpp
@@ -88,10 +88,29 @@
   {
     Knowledge knowledge;
     knowledge.mEvidence = mParts.mEvidence.Snapshot(MonotonicNow());
+    NoteHeard();
     knowledge.mRollouts = mUpkeep.Rollouts();
     mParts.mKnowledge = std::make_shared<const Knowledge>(std::move(knowledge));
   }
 
+  /// Notes whether anything is heard from which a change of settings would be
+  /// learnt: the store, or a peer.
+  ///
+  /// NOTE: Peers that do not see the store either count too. While nobody sees
+  ///       it nobody can be told of a change, and a long outage of the store
+  ///       alone must not stop the service.
+  void NoteHeard()
+  {
+    bool heard = mParts.mSeesStore;
+    for (const Member& member : mParts.mMembership->Members()) {
+      const bool other = member.mState.mName != mParts.mNode.mVm;
+      heard = heard || (other && member.mHealth == VmHealth::Alive);
+    }
+    if (heard) {
+      mParts.mLastHeard = MonotonicNow();
+    }
+  }
+
   /// Takes the root if it changed, then waits for its next change. The wait
   /// is one call of the store; where the store does not answer, peers tell.
   void WatchSettings()
--- a/Libraries/LibServer/Server.cpp
+++ b/Libraries/LibServer/Server.cpp
@@ -181,9 +181,7 @@
                                     std::uint64_t aUpTo) {
     mParts.mHeld.Forget(aIncarnation, aUpTo);
   };
-  callbacks.mVmDead = [this](const Incarnation& aIncarnation) {
-    mUpkeep->CloseLedgerOf(aIncarnation);
-  };
+  callbacks.mVmDead = [this](const Incarnation&) { mUpkeep->OnVmDead(); };
   callbacks.mTakeEvidence = [this] {
     const EvidenceView report = mParts.mEvidence.TakeReport();
     mUpkeep->CountEvidence(report);
--- a/Libraries/LibServer/ServerParts.h
+++ b/Libraries/LibServer/ServerParts.h
@@ -67,6 +67,8 @@
   std::atomic<std::int64_t> mBlockingQueued{ 0 };
   std::atomic<std::int64_t> mInFlight{ 0 };
   std::atomic<bool> mSeesStore{ false };
+  /// When this VM last heard the store or a peer that sees it.
+  std::atomic<TimePoint> mLastHeard{ MonotonicNow() };
   std::atomic<bool> mDraining{ false }; ///< Off the list, serving on.
   std::atomic<bool> mRefusing{ false }; ///< New work is refused.
 
--- a/Libraries/LibServer/Upkeep.cpp
+++ b/Libraries/LibServer/Upkeep.cpp
@@ -19,10 +19,6 @@
 constexpr auto kClaimsPause = std::chrono::seconds(3);
 constexpr auto kObjectivesPause = std::chrono::seconds(30);
 constexpr auto kRolloutsPause = std::chrono::seconds(1);
-/// Rounds of the ledgers between two searches for ledgers that nobody holds
-/// entries of.
-constexpr int kAbandonedRounds = 9;
-
 /// Totals of a version over all kinds of request, never aged.
 using VersionTotals =
   std::map<std::pair<std::string, std::string>, EvidenceCell>;
@@ -83,19 +79,26 @@
   {
     mParts.mBilling->SetLedgerPeriod(
       LedgerPeriod(mParts.mMembership->LiveCount()));
-    const IsAlive isAlive = [this](const Incarnation& aIncarnation) {
-      return Lives(aIncarnation);
-    };
-    Note("A dead VM's ledger could not be closed.",
-         CloseDeadLedgers(mParts.mStore, mParts.mHeld, isAlive));
-    if (!IsFirst()) {
-      return;
+    // NOTE: The first round comes at the start, when the membership is still
+    //       empty and everybody would pass for dead.
+    if (mLedgerRounds++ > 0) {
+      CloseBooksOfTheDead();
     }
-    if (++mLedgerRounds % kAbandonedRounds == 0) {
-      Note("Abandoned ledgers could not be closed.",
-           CloseAbandonedLedgers(mParts.mStore, isAlive));
+  }
+
+  void CloseBooksOfTheDead()
+  {
+    const auto kept = KeepBooks(
+      mParts.mStore,
+      mParts.mHeld,
+      [this](const Incarnation& aIncarnation) { return Lives(aIncarnation); },
+      IsFirst());
+    if (!kept) {
+      Log(LogLevel::Warning,
+          "upkeep",
+          "The books of dead VMs are not closed yet.",
+          { { "error", kept.error().mMessage } });
     }
-    Note("Closed ledgers could not be folded.", FoldLedgers(mParts.mStore));
   }
 
   void StoreObjectives()
@@ -109,17 +112,6 @@
     }
   }
 
-  template<typename Value>
-  void Note(const char* aSentence, const ErrorOr<Value>& aResult) const
-  {
-    if (!aResult) {
-      Log(LogLevel::Warning,
-          "upkeep",
-          aSentence,
-          { { "error", aResult.error().mMessage } });
-    }
-  }
-
   std::vector<RolloutEndpoint> Engines() const
   {
     std::vector<RolloutEndpoint> engines;
@@ -229,20 +221,10 @@
   mPrivate->mParts.mLimits->Leave();
 }
 
-void Upkeep::CloseLedgerOf(const Incarnation& aIncarnation)
+void Upkeep::OnVmDead()
 {
-  asio::post(mPrivate->mParts.mBlocking, [self = mPrivate.get(), aIncarnation] {
-    ServerParts& parts = self->mParts;
-    self->Note("A dead VM's ledger could not be closed.",
-               CloseDeadLedgers(
-                 parts.mStore,
-                 parts.mHeld,
-                 [self, &aIncarnation](const Incarnation& aHeld) {
-                   // NOTE: Only the VM said to be dead; others may merely be
-                   //       unknown here so far.
-                   return aHeld.mVm != aIncarnation.mVm || self->Lives(aHeld);
-                 }));
-  });
+  asio::post(mPrivate->mParts.mBlocking,
+             [self = mPrivate.get()] { self->CloseBooksOfTheDead(); });
 }
 
 void Upkeep::CountEvidence(const EvidenceView& aEvidence)
--- a/Libraries/LibServer/Upkeep.h
+++ b/Libraries/LibServer/Upkeep.h
@@ -25,8 +25,8 @@
   void Start();
   void Stop();
 
-  /// Closes a dead VM's ledger with what is held here, in the background.
-  void CloseLedgerOf(const Incarnation& aIncarnation);
+  /// Closes the books of VMs that are dead, in the background.
+  void OnVmDead();
   /// Counts evidence for the roll-outs, which judge over all time.
   void CountEvidence(const EvidenceView& aEvidence);
   /// The roll-outs as last read.
--- a/include/Acaciavale/LibBilling/Ledger.h
+++ b/include/Acaciavale/LibBilling/Ledger.h
@@ -50,10 +50,6 @@
   std::string mLife{};
   std::size_t mHolders = 2; ///< Failure domains that must hold an entry.
   Duration mLedgerPeriod = kShortestLedgerPeriod;
-  /// Nonce of the first incarnation; random when empty. The VM tells its peers
-  /// the nonce of CurrentIncarnation, by which they know whose entries they
-  /// hold and who is dead.
-  std::string mNonce{};
 
   auto operator<=>(const BillingOptions&) const = default;
 };
