Read and resume roll-outs by LibRollout's record

Cause: the command parsed the progress record on its own before its codec was there. Change: it uses ParseProgress and ResumeRollout.

--- a/Programs/acaciavale/RolloutCommand.cpp
+++ b/Programs/acaciavale/RolloutCommand.cpp
@@ -94,10 +94,7 @@
     return exitCode;
   }
   const auto client = MakeCommandClient(aOptions.Value("store"));
-  const auto lifted =
-    LiftHalt(client->Store(),
-             aOptions.mOperands[1],
-             aOptions.Value("author") + ": " + aOptions.Value("reason"));
+  const auto lifted = LiftHalt(client->Store(), aOptions.mOperands[1]);
   return lifted ? kExitDone : ReportError("rollout resume", lifted.error());
 }
 
--- a/Programs/acaciavale/RolloutRecords.cpp
+++ b/Programs/acaciavale/RolloutRecords.cpp
@@ -1,10 +1,10 @@
 #include "RolloutRecords.h"
 
 #include <Acaciavale/LibCore/Random.h>
+#include <Acaciavale/LibRollout/RolloutRecord.h>
 #include <Acaciavale/LibSettings/SettingsReader.h>
 #include <Acaciavale/LibSettings/SettingsStore.h>
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Acaciavale {
@@ -13,11 +13,6 @@
 
 using Json = nlohmann::json;
 
-std::string RolloutKey(const std::string& aName)
-{
-  return "rollouts/" + aName;
-}
-
 RolloutState StateOf(const RolloutSettings& aRollout)
 {
   RolloutState state;
@@ -30,19 +25,34 @@
   return state;
 }
 
+std::string NameOf(RolloutPhase aPhase)
+{
+  switch (aPhase) {
+    case RolloutPhase::Running:
+      return "running";
+    case RolloutPhase::Paused:
+      return "paused";
+    case RolloutPhase::Halted:
+      return "halted";
+    case RolloutPhase::Done:
+      return "done";
+  }
+  return "";
+}
+
 void AddProgress(const KeyValueEntry& aEntry,
                  const RolloutSettings& aRollout,
                  RolloutState& aState)
 {
-  try {
-    const Json record = Json::parse(aEntry.mValue);
-    aState.mPhase = record.at("phase").get<std::string>();
-    aState.mStep = record.at("step").get<std::size_t>();
-    aState.mHolder = record.value("holder", "");
-    aState.mReason = record.value("reason", "");
-  } catch (const Json::exception&) {
-    aState.mReason = "the progress record cannot be read";
+  const auto progress = ParseProgress(aEntry.mValue);
+  if (!progress) {
+    aState.mReason = progress.error().mMessage;
+    return;
   }
+  aState.mPhase = NameOf(progress->mPhase);
+  aState.mStep = progress->mStep;
+  aState.mHolder = progress->mHolder;
+  aState.mReason = progress->mReason;
   if (aState.mStep < aRollout.mSteps.size()) {
     aState.mShare = aRollout.mSteps[aState.mStep];
   }
@@ -82,27 +92,18 @@
   return states;
 }
 
-ErrorOr<void> LiftHalt(const KeyValueStore& aStore,
-                       const std::string& aName,
-                       const std::string& aReason)
+ErrorOr<void> LiftHalt(const KeyValueStore& aStore, const std::string& aName)
 {
   const auto entry = ACACIAVALE_TRY(aStore.mRead(RolloutKey(aName)));
-  Json record = entry ? Json::parse(entry->mValue, nullptr, false) : Json();
-  // NOTE: A comparison with another type than text is simply false.
-  if (!record.is_object() || !record.contains("phase") ||
-      record["phase"] != "halted") {
+  if (!entry) {
     return {};
   }
-  Random random(EntropySeed());
-  record["phase"] = "running";
-  record["reason"] = "resumed by " + aReason;
-  record["nonce"] = RandomToken(random);
-  const auto written = WriteResolved(
-    aStore, { RolloutKey(aName), record.dump(), entry->mRevision, 0 });
-  if (!written) {
-    return tl::make_unexpected(written.error());
+  const RolloutProgress progress = ACACIAVALE_TRY(ParseProgress(entry->mValue));
+  if (progress.mPhase != RolloutPhase::Halted) {
+    return {};
   }
-  return {};
+  Random random(EntropySeed());
+  return ResumeRollout(aStore, aName, RandomToken(random));
 }
 
 std::string RolloutsText(const std::vector<RolloutState>& aStates,
--- a/Programs/acaciavale/RolloutRecords.h
+++ b/Programs/acaciavale/RolloutRecords.h
@@ -33,9 +33,7 @@
   const KeyValueStore& aStore);
 
 /// Sets a halted roll-out running again; does nothing where it is not halted.
-ErrorOr<void> LiftHalt(const KeyValueStore& aStore,
-                       const std::string& aName,
-                       const std::string& aReason);
+ErrorOr<void> LiftHalt(const KeyValueStore& aStore, const std::string& aName);
 
 /// Renders the roll-out of this name, or all for an empty name.
 std::string RolloutsText(const std::vector<RolloutState>& aStates,
