--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -370,11 +370,11 @@
     Row(kKind, "from", Type::Name, "", "The version that is replaced.")));
   aRows.push_back(
     Required(Row(kKind, "to", Type::Name, "", "The version that comes.")));
-  aRows.push_back(Required(Row(kKind,
-                               "steps",
-                               Type::ShareList,
-                               "0.01, 0.05, 0.25, 1",
-                               "Share of new sessions at each step.")));
+  aRows.push_back(Row(kKind,
+                      "steps",
+                      Type::ShareList,
+                      "0.01, 0.05, 0.25, 1",
+                      "Share of new sessions at each step."));
   aRows.push_back(Row(kKind,
                       "paused",
                       Type::YesNo,
--- a/Tests/LibSettings/TestFindings.cpp
+++ b/Tests/LibSettings/TestFindings.cpp
@@ -157,6 +157,9 @@
   const std::string text = ExampleText();
   STRCMP_EQUAL("",
                FindingsOf(Files(text + RolloutText("r", "0.1, 0.5"))).c_str());
+  const SettingsReading reading =
+    ReadSettings(Files(text + "[rollout r]\nmodel = m\nfrom = a\nto = b\n"));
+  LONGS_EQUAL(4, reading.mSettings->mRollouts.at("r").mSteps.size());
   CheckCase({ text + RolloutText("r", "0.6") + RolloutText("q", "0.1, 0.5"),
               "come to a share of more than 1" });
   CheckCase(
