Hedge look-ups, name other VMs in refusals, show settings to the inspector

Cause: a VM without its part of the limits refused calls as over their rate and stood on the list of addresses; urgent look-ups waited for one slow replica; the inspector could not read settings and history over HTTP. Change: a starting VM says so, names others, and is listed once it is ready; look-ups of repeatable urgent routes are hedged within the budget; /settings, /settings/files and /history on the operators' address.

--- a/Libraries/LibServer/Caller.cpp
+++ b/Libraries/LibServer/Caller.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace Acaciavale {
 
@@ -11,6 +12,7 @@
 
 using Json = nlohmann::ordered_json;
 
+constexpr int kAdvisedAddresses = 3;
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::int64_t kMaxDeadlineMilliseconds = 600'000;
 
@@ -49,16 +51,6 @@
   return std::min<Duration>(aDefault, std::chrono::milliseconds(milliseconds));
 }
 
-Problem Draining()
-{
-  return Problem{ 503,
-                  "vm-leaving",
-                  "This VM is leaving and takes no new work.",
-                  "Use another address of /v1/entries; they follow.",
-                  Ran::No,
-                  std::chrono::seconds(1) };
-}
-
 /// Whether this VM may have missed a change of settings: it has heard neither
 /// the store nor a peer that sees the store for longer than settings allow.
 bool IsIsolated(const ServerParts& aParts, const Settings& aSettings)
@@ -67,14 +59,45 @@
                                      aSettings.mDeployment.mIsolatedServing;
 }
 
-Problem Isolated()
+/// Addresses of other VMs, for the advice of a refusal.
+std::string OtherAddresses(const ServerParts& aParts)
 {
-  return Problem{ 503,
-                  "vm-isolated",
-                  "This VM hears neither the store nor another VM.",
-                  "Use another address of /v1/entries.",
-                  Ran::No,
-                  std::chrono::seconds(5) };
+  std::string addresses;
+  int named = 0;
+  for (const Member& member : aParts.mMembership->Members()) {
+    const VmState& state = member.mState;
+    if (member.mHealth == VmHealth::Alive && !state.mDraining &&
+        state.mName != aParts.mNode.mVm && named++ < kAdvisedAddresses) {
+      addresses += " " + state.mCallerAddress;
+    }
+  }
+  return addresses.empty() ? "Ask again after the stated time."
+                           : "Use another VM:" + addresses + ".";
+}
+
+/// Why this VM takes no work now, if it takes none.
+std::optional<Problem> NotServing(const ServerParts& aParts)
+{
+  const auto settings = aParts.CurrentSettings();
+  Problem problem{
+    503, "vm-leaving", "This VM is leaving and takes no new work.",
+    "",  Ran::No,      std::chrono::seconds(1)
+  };
+  if (!aParts.mRefusing) {
+    if (!settings || !aParts.IsReady()) {
+      problem.mReason = "vm-starting";
+      problem.mDetail =
+        settings ? "This VM has no part of the limits yet, or has lost it."
+                 : "This VM has no settings yet.";
+    } else if (IsIsolated(aParts, *settings)) {
+      problem.mReason = "vm-isolated";
+      problem.mDetail = "This VM hears neither the store nor another VM.";
+    } else {
+      return std::nullopt;
+    }
+  }
+  problem.mAdvice = OtherAddresses(aParts);
+  return problem;
 }
 
 Problem WrongKey()
@@ -93,24 +116,13 @@
                                            std::string aRequestId,
                                            Duration aDefaultDeadline)
 {
-  if (aParts.mRefusing) {
-    return tl::make_unexpected(Draining());
+  if (auto problem = NotServing(aParts)) {
+    return tl::make_unexpected(std::move(*problem));
   }
   Caller caller;
   caller.mSettings = aParts.CurrentSettings();
-  if (caller.mSettings && IsIsolated(aParts, *caller.mSettings)) {
-    return tl::make_unexpected(Isolated());
-  }
   caller.mRequest = std::move(aRequestId);
   caller.mStart = MonotonicNow();
-  if (!caller.mSettings) {
-    return tl::make_unexpected(Problem{ 503,
-                                        "no-settings",
-                                        "This VM has no settings yet.",
-                                        "Use another address of /v1/entries.",
-                                        Ran::No,
-                                        std::chrono::seconds(1) });
-  }
   if (aRequest.mAuthorization.rfind(kBearer, 0) != 0) {
     return tl::make_unexpected(WrongKey());
   }
--- a/Libraries/LibServer/Dispatch.cpp
+++ b/Libraries/LibServer/Dispatch.cpp
@@ -74,6 +74,7 @@
   : mShard(aShard)
   , mPlan(std::move(aPlan))
   , mObserver(std::move(aObserver))
+  , mTried(mPlan.mExcluded)
 {
 }
 
--- a/Libraries/LibServer/Dispatch.h
+++ b/Libraries/LibServer/Dispatch.h
@@ -22,6 +22,7 @@
   /// headers, so that a broken answer may be asked for again.
   bool mBuffered = true;
   TimePoint mDeadline{};
+  std::vector<std::uint32_t> mExcluded; ///< Endpoints not to be tried.
   Priority mPriority = Priority::Interactive;
   double mPrefillSeconds = 0;
   std::uint64_t mPrefixHash = 0; ///< 0: the call has no prompt.
@@ -63,6 +64,9 @@
                                          DispatchObserver aObserver);
   Dispatch(ServerShard& aShard, DispatchPlan aPlan, DispatchObserver aObserver);
 
+  /// The endpoints tried so far, by their numbers.
+  const std::vector<std::uint32_t>& Tried() const { return mTried; }
+
   void Cancel();
   void Pause();
   void Resume();
--- a/Libraries/LibServer/OperatorPages.cpp
+++ b/Libraries/LibServer/OperatorPages.cpp
@@ -2,7 +2,8 @@
 
 #include "Problem.h"
 
-#include <Acaciavale/LibSettings/SettingsReader.h>
+#include <Acaciavale/LibSettings/SettingsReport.h>
+#include <Acaciavale/LibSettings/SettingsStore.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
@@ -139,6 +140,70 @@
   SendJson(aResponse, DecisionJson(*note));
 }
 
+void SendReady(const CallerResponse& aResponse, std::string aJson)
+{
+  aResponse.mSend(
+    200, { { "Content-Type", "application/json" } }, std::move(aJson));
+}
+
+/// The settings in force with the origin of each, or the files as applied.
+void AnswerSettings(const ServerParts& aParts,
+                    const CallerRequest& aRequest,
+                    const CallerResponse& aResponse)
+{
+  const auto stored = aParts.mSettings.Stored();
+  if (!stored) {
+    SendProblem(aResponse,
+                Problem{ 503,
+                         "no-settings",
+                         "This VM has no settings of the store.",
+                         "Ask another VM.",
+                         Ran::No,
+                         std::chrono::seconds(1) });
+    return;
+  }
+  if (aRequest.mPath == "/settings/files") {
+    SendReady(aResponse, FilesJson(stored->mFiles));
+    return;
+  }
+  const TreeReading reading = ReadSettingsTree(stored->mFiles);
+  ExplainQuery query;
+  constexpr std::string_view kAccount = "account=";
+  if (aRequest.mQuery.rfind(kAccount, 0) == 0) {
+    query.mSection = FindAccountSection(
+      reading.mTree, aRequest.mQuery.substr(kAccount.size()));
+    if (!query.mSection) {
+      SendProblem(aResponse,
+                  Problem{ 404,
+                           "unknown-account",
+                           "The settings have no such account.",
+                           "See /settings for all.",
+                           Ran::No });
+      return;
+    }
+  }
+  SendReady(aResponse, ExplainJson(Explain(reading.mTree, query)));
+}
+
+/// NOTE: Reads the store, and so may hold up the operators' other pages for as
+///       long as the store takes; callers have threads of their own.
+void AnswerHistory(const ServerParts& aParts, const CallerResponse& aResponse)
+{
+  const auto history = FetchHistory(aParts.mStore);
+  if (!history) {
+    SendProblem(
+      aResponse,
+      Problem{ 503,
+               "store-down",
+               "The store cannot be read: " + history.error().mMessage,
+               "Ask again after the stated time.",
+               Ran::No,
+               std::chrono::seconds(2) });
+    return;
+  }
+  SendReady(aResponse, HistoryJson(*history));
+}
+
 void AnswerPage(ServerParts& aParts,
                 const CallerRequest& aRequest,
                 const CallerResponse& aResponse)
@@ -149,6 +214,11 @@
     SendText(aResponse, 200, aParts.mMetrics.Text());
   } else if (aRequest.mPath == "/status") {
     SendJson(aResponse, StatusJson(aParts));
+  } else if (aRequest.mPath == "/settings" ||
+             aRequest.mPath == "/settings/files") {
+    AnswerSettings(aParts, aRequest, aResponse);
+  } else if (aRequest.mPath == "/history") {
+    AnswerHistory(aParts, aResponse);
   } else if (aRequest.mPath.rfind(kDecisionsPrefix, 0) == 0) {
     AnswerDecision(
       aParts, aRequest.mPath.substr(kDecisionsPrefix.size()), aResponse);
@@ -157,8 +227,8 @@
                 Problem{ 404,
                          "unknown-page",
                          "There is no such page.",
-                         "Pages: /healthz /readyz /metrics /status "
-                         "/decisions/REQUEST",
+                         "Pages: /healthz /readyz /metrics /status /settings "
+                         "/settings/files /history /decisions/REQUEST",
                          Ran::No });
   }
 }
@@ -174,9 +244,7 @@
     return;
   }
   if (aRequest.mPath == "/readyz") {
-    // NOTE: A VM that has no part of the limits yet would refuse everything.
-    const bool ready = aParts.CurrentSettings() != nullptr &&
-                       !aParts.mDraining && aParts.mLimits->Share() > 0;
+    const bool ready = aParts.IsReady() && !aParts.mDraining;
     SendText(aResponse, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     return;
   }
--- a/Libraries/LibServer/OperatorPages.h
+++ b/Libraries/LibServer/OperatorPages.h
@@ -5,8 +5,9 @@
 
 namespace Acaciavale {
 
-/// Answers on the operators' address: /healthz, /readyz, /metrics, /status and
-/// /decisions/{request}. Read-only.
+/// Answers on the operators' address: /healthz, /readyz, /metrics, /status,
+/// /settings, /settings/files, /history and /decisions/{request}. Read-only;
+/// secrets are never shown.
 void AnswerOperator(ServerParts& aParts,
                     const CallerRequest& aRequest,
                     const CallerResponse& aResponse);
--- a/Libraries/LibServer/Server.cpp
+++ b/Libraries/LibServer/Server.cpp
@@ -155,7 +155,9 @@
   state.mOperatorAddress = mOperatorAddress;
   state.mFailureDomain = mOptions.mNode.mFailureDomain;
   state.mWeight = mOptions.mNode.mWeight;
-  state.mDraining = mParts.mDraining;
+  // NOTE: Peers take this for "not on the list of addresses", which holds for a
+  //       VM that is still starting as well.
+  state.mDraining = mParts.mDraining || !mParts.IsReady();
   state.mInFlight = mParts.mInFlight;
   const auto settings = mParts.CurrentSettings();
   state.mSeesStore = mParts.mSeesStore;
--- a/Libraries/LibServer/ServerParts.h
+++ b/Libraries/LibServer/ServerParts.h
@@ -72,6 +72,13 @@
   std::atomic<bool> mDraining{ false }; ///< Off the list, serving on.
   std::atomic<bool> mRefusing{ false }; ///< New work is refused.
 
+  /// Whether this VM can serve callers: it has settings and its part of the
+  /// limits, without which it would refuse everything.
+  bool IsReady() const
+  {
+    return CurrentSettings() != nullptr && mLimits->Share() > 0;
+  }
+
   /// The settings in force, or null before there are any.
   std::shared_ptr<const Settings> CurrentSettings() const
   {
--- a/Libraries/LibServer/ServiceExchange.cpp
+++ b/Libraries/LibServer/ServiceExchange.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kMaxAnswerBytes = 512 * 1024;
 constexpr std::int64_t kMaxBlockingQueued = 2048;
 constexpr auto kClaimMargin = std::chrono::seconds(5);
+constexpr auto kLeastHedgeWait = std::chrono::milliseconds(20);
+/// A look-up is hedged once it took this many times the usual.
+constexpr double kHedgeFactor = 3;
 constexpr int kCompletionTries = 5;
 constexpr auto kCompletionPause = std::chrono::milliseconds(200);
 
@@ -113,6 +116,7 @@
   , mParts(aShard.mParts)
   , mRequest(std::move(aRequest))
   , mResponse(std::move(aResponse))
+  , mHedgeTimer(aShard.mContext)
 {
   mNote.mRequest = RandomToken(mShard.mRandom);
   mNote.mTime = CalendarNow();
@@ -269,11 +273,10 @@
                                              : found->second;
 }
 
-void ServiceExchange::Run()
+DispatchPlan ServiceExchange::Plan() const
 {
-  const auto self = shared_from_this();
   DispatchPlan plan;
-  plan.mCandidates = [self] { return self->Candidates(); };
+  plan.mCandidates = [self = shared_from_this()] { return self->Candidates(); };
   plan.mRepeatable = mRoute.mRepeatable;
   plan.mDeadline = mCaller.mDeadline;
   plan.mPriority = mRoute.mPriority;
@@ -291,17 +294,25 @@
     plan.mRequest.mHeaders.emplace_back("Idempotency-Key",
                                         mRequest.mIdempotencyKey);
   }
+  return plan;
+}
+
+std::shared_ptr<Dispatch> ServiceExchange::StartDispatch(DispatchPlan aPlan,
+                                                         StoredAnswer& aAnswer)
+{
+  const auto self = shared_from_this();
+  StoredAnswer* const answer = &aAnswer;
   DispatchObserver observer;
-  observer.mOnHeaders = [self](const EndpointAnswerHeaders& aHeaders) {
-    self->mAnswer = StoredAnswer{ aHeaders.mStatus, aHeaders.mContentType, "" };
+  observer.mOnHeaders = [answer](const EndpointAnswerHeaders& aHeaders) {
+    *answer = StoredAnswer{ aHeaders.mStatus, aHeaders.mContentType, "" };
   };
-  observer.mOnBody = [self](std::string_view aBytes) {
-    if (self->mAnswer.mBody.size() + aBytes.size() <= kMaxAnswerBytes) {
-      self->mAnswer.mBody.append(aBytes);
+  observer.mOnBody = [answer](std::string_view aBytes) {
+    if (answer->mBody.size() + aBytes.size() <= kMaxAnswerBytes) {
+      answer->mBody.append(aBytes);
     }
   };
-  observer.mOnDone = [self](const DispatchResult& aResult) {
-    self->OnDone(aResult);
+  observer.mOnDone = [self, answer](const DispatchResult& aResult) {
+    self->OnDone(aResult, *answer);
   };
   observer.mOnAttempt = [self](const std::string& aEndpoint,
                                std::string_view aReason,
@@ -309,20 +320,84 @@
     if (aOutcome.empty()) {
       self->mNote.mDispatches.push_back(
         { {}, aEndpoint, std::string(aReason), "" });
-    } else {
-      self->mNote.mDispatches.back().mOutcome = aOutcome;
+      return;
+    }
+    for (DispatchNote& note : self->mNote.mDispatches) {
+      if (note.mEndpoint == aEndpoint && note.mOutcome.empty()) {
+        note.mOutcome = aOutcome;
+      }
     }
   };
-  mDispatch = Dispatch::Start(mShard, std::move(plan), std::move(observer));
+  return Dispatch::Start(mShard, std::move(aPlan), std::move(observer));
 }
 
-void ServiceExchange::OnDone(const DispatchResult& aResult)
+void ServiceExchange::Run()
+{
+  mDispatch = StartDispatch(Plan(), mAnswer);
+  if (mRoute.mRepeatable && mRoute.mPriority == Priority::Urgent) {
+    HedgeLater();
+  }
+}
+
+void ServiceExchange::HedgeLater()
 {
+  mParts.mHedges.RecordRequest(mCaller.mSettings->mDeployment.mHedgeBudget);
+  const auto pool = Candidates();
+  const double usual = pool ? LoadOf(mParts, *pool).mSecondsPerRequest : 0;
+  const auto wait =
+    std::max<Duration>(kLeastHedgeWait,
+                       std::chrono::duration_cast<Duration>(
+                         std::chrono::duration<double>(kHedgeFactor * usual)));
+  mHedgeTimer.expires_after(wait);
+  // NOTE: Held weakly, so that an answered call does not wait for its timer.
+  const std::weak_ptr<ServiceExchange> weak = weak_from_this();
+  mHedgeTimer.async_wait([weak](const std::error_code& aError) {
+    const auto self = weak.lock();
+    if (!aError && self && !self->mEnded) {
+      self->Hedge();
+    }
+  });
+}
+
+void ServiceExchange::Hedge()
+{
+  const bool open = mDispatch && !mFirstFailed && !mBilling;
+  if (!open || !mParts.mHedges.TrySpend()) {
+    return;
+  }
+  mParts.mMetrics.Count("acaciavale_hedges_total", {});
+  DispatchPlan plan = Plan();
+  plan.mExcluded = mDispatch->Tried();
+  mHedgeDispatch = StartDispatch(std::move(plan), mHedgeAnswer);
+}
+
+std::shared_ptr<Dispatch> ServiceExchange::OtherThan(
+  const StoredAnswer& aAnswer) const
+{
+  return &aAnswer == &mAnswer ? mHedgeDispatch : mDispatch;
+}
+
+void ServiceExchange::OnDone(const DispatchResult& aResult,
+                             const StoredAnswer& aAnswer)
+{
+  if (mEnded || mBilling) {
+    return;
+  }
+  const auto other = OtherThan(aAnswer);
   if (aResult.mAnswered) {
+    if (other) {
+      other->Cancel();
+    }
+    mAnswer = StoredAnswer(aAnswer);
     OnAnswered(aResult.mStatus);
-  } else {
-    OnFailed(aResult);
+    return;
+  }
+  if (other && !mFirstFailed) {
+    // The other one may still answer.
+    mFirstFailed = true;
+    return;
   }
+  OnFailed(aResult);
 }
 
 void ServiceExchange::OnAnswered(int aStatus)
@@ -368,6 +443,7 @@
 
 void ServiceExchange::Bill()
 {
+  mBilling = true;
   BillEntry entry;
   entry.mRequest = mNote.mRequest;
   entry.mAccount = mCaller.mAccount.mName;
@@ -414,6 +490,8 @@
     return;
   }
   mEnded = true;
+  mHedgeTimer.cancel();
+  mHedgeDispatch.reset();
   if (mAdmitted) {
     FinishAdmission(mParts, mCaller.mAccount.mName);
   }
--- a/Libraries/LibServer/ServiceExchange.h
+++ b/Libraries/LibServer/ServiceExchange.h
@@ -4,6 +4,7 @@
 #include "Dispatch.h"
 
 #include <Acaciavale/LibClaims/Claims.h>
+#include <asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 
@@ -29,8 +30,15 @@
   void Claim();
   void OnClaim(const ClaimResult& aResult);
   void Run();
+  DispatchPlan Plan() const;
+  std::shared_ptr<Dispatch> StartDispatch(DispatchPlan aPlan,
+                                          StoredAnswer& aAnswer);
+  void HedgeLater();
+  void Hedge();
+  /// The other of the two dispatches of a hedged call, or null.
+  std::shared_ptr<Dispatch> OtherThan(const StoredAnswer& aAnswer) const;
   tl::expected<EndpointRecords, Problem> Candidates() const;
-  void OnDone(const DispatchResult& aResult);
+  void OnDone(const DispatchResult& aResult, const StoredAnswer& aAnswer);
   void OnAnswered(int aStatus);
   void OnFailed(const DispatchResult& aResult);
   void Bill();
@@ -55,7 +63,12 @@
   ClaimQuery mClaim;
   StoredAnswer mAnswer;
   std::shared_ptr<Dispatch> mDispatch;
+  StoredAnswer mHedgeAnswer;
+  std::shared_ptr<Dispatch> mHedgeDispatch;
+  asio::steady_timer mHedgeTimer;
+  bool mFirstFailed = false; ///< Of the two, one has failed already.
   bool mAdmitted = false;
+  bool mBilling = false; ///< An answer was taken; nothing else counts.
   bool mEnded = false;
 };
 
