Keep EndpointQuery::mReservedShare and ask for keys of homes

Change: mReservedShare above 0 keeps off endpoints marked mReserved; endpoints without a key are no homes. Figures: TestLibRouting passes.

--- a/Benchmarks/DecisionMeasureParts/RouterFake.cpp
+++ b/Benchmarks/DecisionMeasureParts/RouterFake.cpp
@@ -103,7 +103,7 @@
     query.mPrefillSeconds = mScenario.mPrefillSeconds;
     query.mPrefixHash = aDispatch.mPrefixHash;
   }
-  query.mAvoidsReserved = aDispatch.mPriority == Priority::Batch;
+  query.mReservedShare = ReservedShare(aDispatch.mPriority);
   return ChooseEndpoint(mViews, query, mRandom).mIndex;
 }
 
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -100,7 +100,7 @@
     (EstimatedInFlight(aEndpoint, aQuery, turnover) + 1) / slots;
   double score = seconds + turnover * WaitingShare(load);
   score += turnover * kFailureWait * aEndpoint.mErrorShare;
-  if (aEndpoint.mReserved && aQuery.mAvoidsReserved) {
+  if (aEndpoint.mReserved && aQuery.mReservedShare > 0) {
     score += turnover * kReservedWait;
   }
   if ((aContext.mTriedDomains & DomainBit(aEndpoint)) != 0) {
@@ -126,7 +126,9 @@
   for (const EndpointView& endpoint : aEndpoints) {
     const std::uint64_t rank =
       RendezvousRank(aQuery.mPrefixHash, endpoint.mKey);
-    if (rank >= highest && !endpoint.mLeaving && !endpoint.mEjected) {
+    const bool mayBeHome =
+      endpoint.mKey != 0 && !endpoint.mLeaving && !endpoint.mEjected;
+    if (rank >= highest && mayBeHome) {
       home = &endpoint;
       highest = rank;
     }
--- a/Tests/LibRouting/TestEndpointChoice.cpp
+++ b/Tests/LibRouting/TestEndpointChoice.cpp
@@ -96,7 +96,7 @@
   pool[1].mOwnInFlight = 4;
   EndpointQuery query;
   CHECK(Choose(pool, query).mIndex == 0U);
-  query.mAvoidsReserved = true;
+  query.mReservedShare = 0.15;
   CHECK(Choose(pool, query).mIndex == 1U);
   pool[1].mEjected = true;
   CHECK(Choose(pool, query).mIndex == 0U);
@@ -126,3 +126,15 @@
   pool[*home].mOwnInFlight = 40;
   CHECK(Choose(pool, query).mIndex != home);
 }
+
+TEST(EndpointChoice, EndpointsWithoutAKeyAreNoHomes)
+{
+  EndpointQuery query;
+  query.mPrefillSeconds = 0.5;
+  query.mPrefixHash = 99;
+  std::vector<bool> seen(6, false);
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    seen[*Choose(Pool(6), query, seed).mIndex] = true;
+  }
+  CHECK(seen == std::vector<bool>(6, true));
+}
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -51,8 +51,9 @@
   /// Hash of the prompt's prefix; 0 is none. It has a home endpoint, by
   /// rendezvous hashing over the keys, that all VMs prefer alike.
   std::uint64_t mPrefixHash = 0;
-  /// Whether this is long work that leaves the reserved endpoints to others.
-  bool mAvoidsReserved = false;
+  /// Share of the pool that this work leaves to more urgent work: above 0 it
+  /// keeps off the reserved endpoints. See ReservedShare and ReservedEndpoints.
+  double mReservedShare = 0;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
--- a/include/Acaciavale/LibRouting/VersionChoice.h
+++ b/include/Acaciavale/LibRouting/VersionChoice.h
@@ -55,7 +55,7 @@
   double mQualityLowerBound = 0;
   double mQualityUpperBound = 0;
   double mQualityMean = 0;
-  double mRatings = 0; ///< Seen, the prior not counted.
+  double mRatings = 0;         ///< Seen, the prior not counted.
   Duration mExpectedLatency{}; ///< Counts later stages by their likelihood.
   Duration mLongestLatency{};  ///< If every stage runs.
   Exclusion mExclusion = Exclusion::None;
