Ask for the own state before the table is locked

Cause: Start called mSelf with the member table locked; a server whose state needs the members would have waited for itself. Change: the state is taken before the lock; a test starts such a VM. Conclusion: mSelf may call Members and LiveCount.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -640,6 +640,8 @@
   state.mWork = std::make_unique<WorkQueue>();
   state.mClient = std::make_unique<PeerClient>();
   state.mServer = std::make_unique<PeerServer>(state.Handlers());
+  // NOTE: Asked before the lock is taken, since it may ask for the members.
+  VmState self = state.Self();
   {
     // NOTE: A peer may call before the address is known here; it waits.
     const std::lock_guard lock(state.mTableMutex);
@@ -648,7 +650,8 @@
       return bound;
     }
     state.mAddress = *bound;
-    BeatSelf(state.mTable, state.Self(), false, MonotonicNow());
+    self.mPeerAddress = state.mAddress;
+    BeatSelf(state.mTable, std::move(self), false, MonotonicNow());
   }
   state.mRunning = true;
   state.mDigestThread = std::thread([&state] { state.RunDigests(); });
--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -373,6 +373,25 @@
   membership.TellForget({ "vm-0", "1" }, 1);
 }
 
+TEST(Membership, TheOwnStateMayBeMadeFromTheMembers)
+{
+  FakeKeyValueStore store;
+  MembershipOptions options;
+  options.mListenAddress = "127.0.0.1:0";
+  std::unique_ptr<Membership> membership;
+  MembershipCallbacks callbacks;
+  callbacks.mSelf = [&membership] {
+    VmState state;
+    state.mName = "vm";
+    state.mWeight = static_cast<std::int64_t>(membership->LiveCount());
+    return state;
+  };
+  membership =
+    std::make_unique<Membership>(options, callbacks, store.Store(), 1);
+  CHECK(membership->Start().has_value());
+  membership->Stop();
+}
+
 TEST(Membership, AnAddressInUseIsAnError)
 {
   FakeKeyValueStore store;
