--- a/Libraries/LibBilling/Billing.cpp
+++ b/Libraries/LibBilling/Billing.cpp
@@ -81,20 +81,11 @@
     , mReplicate(std::move(aReplicate))
     , mTellHolders(std::move(aTellHolders))
     , mRandom(aSeed)
-    , mBook(FirstBook())
+    , mBook(NewBook())
     , mLedger(mBook.mIncarnation)
   {
   }
 
-  LedgerBook FirstBook()
-  {
-    LedgerBook book = NewBook();
-    if (!mOptions.mNonce.empty()) {
-      book.mIncarnation.mNonce = mOptions.mNonce;
-    }
-    return book;
-  }
-
   LedgerBook NewBook()
   {
     ++mCounts.mIncarnations;
--- a/Libraries/LibBilling/CloseLedger.cpp
+++ b/Libraries/LibBilling/CloseLedger.cpp
@@ -148,17 +148,4 @@
   return closed;
 }
 
-ErrorOr<void> KeepBooks(const KeyValueStore& aStore,
-                        HeldEntries& aHeld,
-                        const IsAlive& aIsAlive,
-                        bool aSweeps)
-{
-  ACACIAVALE_TRY(CloseDeadLedgers(aStore, aHeld, aIsAlive));
-  if (!aSweeps) {
-    return {};
-  }
-  ACACIAVALE_TRY(CloseAbandonedLedgers(aStore, aIsAlive));
-  return FoldLedgers(aStore);
-}
-
 } // namespace Acaciavale
--- a/Tests/LibBilling/TestBilling.cpp
+++ b/Tests/LibBilling/TestBilling.cpp
@@ -186,6 +186,17 @@
   CHECK(mStore.mList("ledgers/")->empty());
 }
 
+TEST(Billing, AnOwnerThatCreatesItsFoldedLedgerAgainLosesNoEntry)
+{
+  const auto vm = Vm("a");
+  CHECK(RecordAndWait(*vm, Entry("jadran")));
+  CHECK(CloseDeadLedgers(mStore, mFirst, NobodyIsAlive).has_value());
+  CHECK(FoldLedgers(mStore).has_value());
+  mDomains = 0;
+  CHECK(RecordAndWait(*vm, Entry("gebeta")));
+  LONGS_EQUAL(1, Totals().at("gebeta").mRequests);
+}
+
 TEST(Billing, TheArchiveForgetsIncarnationsButNotTheirTotals)
 {
   {
@@ -226,9 +237,11 @@
   const auto isAlive = [&](const Incarnation& aIncarnation) {
     return aIncarnation == alive;
   };
-  CHECK(KeepBooks(mStore, mFirst, isAlive, false).has_value());
+  CHECK(CloseDeadLedgers(mStore, mFirst, isAlive).has_value());
   LONGS_EQUAL(1, mStore.mList("ledgers/")->size());
-  CHECK(KeepBooks(mStore, mSecond, isAlive, true).has_value());
+  CHECK(CloseDeadLedgers(mStore, mSecond, isAlive).has_value());
+  CHECK(CloseAbandonedLedgers(mStore, isAlive).has_value());
+  CHECK(FoldLedgers(mStore).has_value());
   CHECK(living->Flush().has_value());
   CHECK(living->CurrentIncarnation() == alive);
   LONGS_EQUAL(1, Totals().at("jadran").mRequests);
--- a/include/Acaciavale/LibBilling/Ledger.h
+++ b/include/Acaciavale/LibBilling/Ledger.h
@@ -50,10 +50,6 @@
   std::string mLife{};
   std::size_t mHolders = 2; ///< Failure domains that must hold an entry.
   Duration mLedgerPeriod = kShortestLedgerPeriod;
-  /// Nonce of the first incarnation; random when empty. The VM tells its peers
-  /// the nonce of CurrentIncarnation, by which they know whose entries they
-  /// hold and who is dead.
-  std::string mNonce{};
 
   auto operator<=>(const BillingOptions&) const = default;
 };
@@ -166,16 +162,6 @@
 ErrorOr<void> FoldLedgers(const KeyValueStore& aStore,
                           UnixMilliseconds aNow = CalendarNow());
 
-/// What each VM owes to the books of all: closes the ledgers of the dead whose
-/// entries it holds and, where it is the one that sweeps, those of which nobody
-/// holds entries, and folds. Call it when a VM dies and every minute, once the
-/// membership had time to fill; a failure is mended by the next call. Any rule
-/// for who sweeps will do, such as the first name among the living.
-ErrorOr<void> KeepBooks(const KeyValueStore& aStore,
-                        HeldEntries& aHeld,
-                        const IsAlive& aIsAlive,
-                        bool aSweeps);
-
 /// The bill as it stands: archive and all ledgers together.
 ErrorOr<AccountTotals> ReadTotals(const KeyValueStore& aStore);
 
