--- a/Tests/LibBilling/TestBilling.cpp
+++ b/Tests/LibBilling/TestBilling.cpp
@@ -197,6 +197,23 @@
   LONGS_EQUAL(1, Totals().at("gebeta").mRequests);
 }
 
+TEST(Billing, ALedgerCreatedAgainByAnOwnerThatDiesHasNoWord)
+{
+  {
+    const auto vm = Vm("a");
+    CHECK(RecordAndWait(*vm, Entry("jadran")));
+    CHECK(CloseDeadLedgers(mStore, mFirst, NobodyIsAlive).has_value());
+    CHECK(FoldLedgers(mStore).has_value());
+    CHECK(RecordAndWait(*vm, Entry("gebeta")));
+    mFake.SetFaults({ .mFailReads = 1 });
+    CHECK(!vm->Flush().has_value());
+  }
+  CHECK(CloseDeadLedgers(mStore, mFirst, NobodyIsAlive).has_value());
+  CHECK(FoldLedgers(mStore).has_value());
+  LONGS_EQUAL(1, Totals().at("jadran").mRequests);
+  LONGS_EQUAL(1, Totals().at("gebeta").mRequests);
+}
+
 TEST(Billing, TheArchiveForgetsIncarnationsButNotTheirTotals)
 {
   {
