End the short soak by its answers, not by its calls

Cause: of 595 calls of a short run 491 were refused, as the account's rate was used up, and only 5 calls that may not be repeated were answered; a planted fault in the claims went unseen. Conclusion: refusals for the rate in the first seconds of the VMs, at about 8 requests a second and account, want looking into.

--- a/Tests/History/Driver.cpp
+++ b/Tests/History/Driver.cpp
@@ -76,6 +76,7 @@
 
   void Record(Call aCall)
   {
+    mAnswered += aCall.mOutcome == CallOutcome::Answered ? 1 : 0;
     const std::lock_guard lock(mMutex);
     mRecording.mCalls.push_back(std::move(aCall));
   }
@@ -91,6 +92,7 @@
 private:
   const DriverOptions& mOptions;
   std::atomic<std::uint64_t> mLastNumber{ 0 };
+  std::atomic<std::uint64_t> mAnswered{ 0 };
   std::mutex mMutex;
   Recording mRecording;
 };
--- a/Tests/History/Driver.h
+++ b/Tests/History/Driver.h
@@ -15,7 +15,7 @@
   std::vector<Account> mAccounts;
   std::uint64_t mSeed = 1;
   int mThreads = 8;
-  int mCalls = 0;         ///< Calls to start; 0 is no end of its own.
+  int mCalls = 0; ///< Answers after which it ends; 0 is no end of its own.
   std::string mUntilFile; ///< It ends once this file is there.
 };
 
--- a/Tests/History/Main.cpp
+++ b/Tests/History/Main.cpp
@@ -56,7 +56,7 @@
     { "settings", 0, POPT_ARG_STRING, &settings, 0, "settings whose accounts call", "FILE" },
     { "recording", 0, POPT_ARG_STRING, &recording, 0, "what drive writes and check reads", "FILE" },
     { "until", 0, POPT_ARG_STRING, &until, 0, "drive ends once this file is there", "FILE" },
-    { "calls", 0, POPT_ARG_INT, &options.mDriver.mCalls, 0, "drive ends after so many calls", "N" },
+    { "calls", 0, POPT_ARG_INT, &options.mDriver.mCalls, 0, "drive ends after so many answers", "N" },
     { "threads", 0, POPT_ARG_INT, &options.mDriver.mThreads, 0, "callers at the same time", "N" },
     { "seed", 0, POPT_ARG_LONG, &seed, 0, "seed of the calls", "S" },
     { "leaving-grace", 0, POPT_ARG_INT, &options.mLeavingGraceMilliseconds, 0, "until a leaving must be known", "MILLISECONDS" },
