Hand held bill entries over, and close the books of a dead life sooner

A VM that stopped threw away what it held for others, and a killed VM that came back under its name passed for alive for as long as its old life was only suspected, while its holders were stopped and killed in turn. Ruled out: the settling of the check, which waits a minute while the VMs live. Change: a stop closes the books of the dead, tries to close its own ledger for a minute, and replicates what it holds to VMs that stay; an older life of a name that is alive under a newer one is over; the books are looked at every 3 s. The choice of endpoints is given keys, reserved marks, turnover and the expected share of errors, as it asks for.

--- a/Libraries/LibServer/Caller.cpp
+++ b/Libraries/LibServer/Caller.cpp
@@ -192,7 +192,9 @@
                    std::max<std::size_t>(1, aParts.mMembership->LiveCount())));
   return PoolLoad{ estimate.mSlots,
                    estimate.mInFlight,
-                   estimate.mSecondsPerRequest };
+                   estimate.mSecondsPerRequest,
+                   estimate.mOwnInFlight,
+                   estimate.mOwnSlots };
 }
 
 std::string EntriesBody(const ServerParts& aParts)
--- a/Libraries/LibServer/Dispatch.cpp
+++ b/Libraries/LibServer/Dispatch.cpp
@@ -104,7 +104,7 @@
     std::max<std::size_t>(1, mShard.mParts.mMembership->LiveCount()));
   query.mPrefillSeconds = mPlan.mPrefillSeconds;
   query.mPrefixHash = mPlan.mPrefixHash;
-  query.mAvoidsReserved = mPlan.mPriority == Priority::Batch;
+  query.mReservedShare = ReservedShare(mPlan.mPriority);
   query.mExcluded = mTried;
   const EndpointDecision decision =
     ChooseEndpoint(views, query, mShard.mRandom);
--- a/Libraries/LibServer/EndpointTable.cpp
+++ b/Libraries/LibServer/EndpointTable.cpp
@@ -1,5 +1,7 @@
 #include "EndpointTable.h"
 
+#include <Acaciavale/LibAdmission/Admission.h>
+#include <Acaciavale/LibRouting/EndpointSubset.h>
 #include <algorithm>
 
 namespace Acaciavale {
@@ -8,6 +10,30 @@
 
 constexpr auto kOutlierPeriod = std::chrono::milliseconds(50);
 constexpr std::size_t kMaxPrefixes = 4096;
+constexpr std::uint64_t kHashStart = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t kHashFactor = 0x100000001b3ULL;
+
+/// The same on all VMs, as std::hash need not be.
+std::uint64_t KeyOf(std::string_view aAddress)
+{
+  std::uint64_t hash = kHashStart;
+  for (const char character : aAddress) {
+    hash = (hash ^ static_cast<unsigned char>(character)) * kHashFactor;
+  }
+  return hash;
+}
+
+void MarkReserved(const EndpointRecords& aPool)
+{
+  std::vector<std::uint64_t> keys;
+  for (const auto& endpoint : aPool) {
+    keys.push_back(KeyOf(endpoint->Listing().mAddress));
+  }
+  const auto reserved = ReservedEndpoints(keys, ReservedShare(Priority::Batch));
+  for (std::size_t index = 0; index < aPool.size(); ++index) {
+    aPool[index]->SetReserved(reserved[index]);
+  }
+}
 
 } // namespace
 
@@ -19,6 +45,7 @@
   , mListing(std::move(aListing))
 {
   mSeen.mIndex = aIndex;
+  mSeen.mKey = KeyOf(mListing.mAddress);
   mSeen.mFailureDomain = aFailureDomain;
   mSeen.mLeaving = mListing.mLeaving;
 }
@@ -45,7 +72,8 @@
   view.mReportAge = aNow - mReported;
   view.mEjected = IsBlocked(mHealth, view.mOwnInFlight, aNow);
   view.mSecondsPerRequest = mHealth.mSecondsPerRequest;
-  view.mErrorShare = ErrorShare(mHealth);
+  view.mTurnoverSeconds = SecondsOf(mTurnover);
+  view.mErrorShare = ExpectedErrorShare(mHealth, aNow);
   view.mPrefixShare =
     aPrefixHash != 0 && mPrefixes.contains(aPrefixHash) ? 1.0 : 0.0;
   return view;
@@ -61,6 +89,9 @@
   mOwnInFlight.fetch_sub(1);
   const std::lock_guard guard(mLock);
   mHealth = Recorded(mHealth, aOutcome, aNow);
+  if (aOutcome.mOk) {
+    mTurnover = Recorded(mTurnover, aOutcome.mServiceSeconds);
+  }
 }
 
 void EndpointRecord::RecordCancelled()
@@ -89,6 +120,12 @@
   }
 }
 
+void EndpointRecord::SetReserved(bool aReserved)
+{
+  const std::lock_guard guard(mLock);
+  mSeen.mReserved = aReserved;
+}
+
 EndpointHealth EndpointRecord::Health() const
 {
   const std::lock_guard guard(mLock);
@@ -176,6 +213,16 @@
   for (const auto& [version, records] : snapshot->mByVersion) {
     snapshot->mLoaded.push_back(version);
   }
+  EndpointRecords engines;
+  for (const auto& endpoint : snapshot->mAll) {
+    if (endpoint->Listing().mService.empty()) {
+      engines.push_back(endpoint);
+    }
+  }
+  MarkReserved(engines);
+  for (const auto& [service, pool] : snapshot->mByService) {
+    MarkReserved(pool);
+  }
   mByName = std::move(byName);
   mSnapshot = std::move(snapshot);
 }
--- a/Libraries/LibServer/EndpointTable.h
+++ b/Libraries/LibServer/EndpointTable.h
@@ -36,6 +36,9 @@
   void RecordCancelled();
   void RecordReport(const LoadReport& aReport, TimePoint aNow);
 
+  /// Whether the pool keeps this endpoint free of long work.
+  void SetReserved(bool aReserved);
+
   EndpointHealth Health() const;
   void SetHealth(const EndpointHealth& aHealth);
 
@@ -49,6 +52,7 @@
   EndpointListing mListing;
   EndpointView mSeen; ///< All but the own requests in flight and the ages.
   EndpointHealth mHealth;
+  Turnover mTurnover;
   std::set<std::uint64_t> mPrefixes; ///< In the engine's cache, as reported.
   std::uint64_t mLastPrefixEvent = 0;
   TimePoint mReported{};
--- a/Libraries/LibServer/Server.cpp
+++ b/Libraries/LibServer/Server.cpp
@@ -23,6 +23,9 @@
 constexpr auto kInFlightPoll = std::chrono::milliseconds(10);
 /// The longest that a graceful stop waits for requests under way.
 constexpr auto kLongestDrain = std::chrono::minutes(10);
+/// How long a stop tries to close the ledger while the store is down.
+constexpr auto kLongestClose = std::chrono::seconds(60);
+constexpr auto kClosePause = std::chrono::milliseconds(250);
 /// The least time that new work is still taken after leaving the list.
 constexpr auto kLeastKeep = std::chrono::seconds(1);
 constexpr std::string_view kServicesPrefix = "/v1/services/";
@@ -85,6 +88,8 @@
   VmState SelfState() const;
   MembershipCallbacks MakeCallbacks();
   void Drain();
+  void CloseLedger();
+  void HandOverHeldEntries();
   void StopThreads();
 
   ServerOptions mOptions;
@@ -328,17 +333,44 @@
   }
 }
 
-void Server::Private::StopThreads()
+void Server::Private::CloseLedger()
 {
-  mRefresher->Stop();
-  mUpkeep->Stop();
-  const auto closed = mParts.mBilling->Close();
+  const auto deadline = MonotonicNow() + kLongestClose;
+  auto closed = mParts.mBilling->Close();
+  while (!closed && MonotonicNow() < deadline) {
+    std::this_thread::sleep_for(kClosePause);
+    closed = mParts.mBilling->Close();
+  }
   if (!closed) {
     Log(LogLevel::Warning,
         "server",
         "The ledger could not be closed; its holders will close it.",
         { { "error", closed.error().mMessage } });
   }
+}
+
+void Server::Private::HandOverHeldEntries()
+{
+  // NOTE: What this VM holds for others may be the last copy but one, so it
+  //       goes to VMs that stay. An entry held twice is billed once.
+  for (const Incarnation& incarnation : mParts.mHeld.Incarnations()) {
+    const auto entries = mParts.mHeld.Of(incarnation);
+    if (!entries.empty() && mParts.mMembership->Replicate(entries) == 0) {
+      Log(LogLevel::Warning,
+          "server",
+          "Held bill entries could not be handed over.",
+          { { "vm", incarnation.mVm },
+            { "entries", std::to_string(entries.size()) } });
+    }
+  }
+}
+
+void Server::Private::StopThreads()
+{
+  mRefresher->Stop();
+  mUpkeep->Stop();
+  CloseLedger();
+  HandOverHeldEntries();
   mParts.mMembership->Stop();
   mParts.mBlocking.join();
   auto stop = [](ShardThread& aShard) {
--- a/Libraries/LibServer/Upkeep.cpp
+++ b/Libraries/LibServer/Upkeep.cpp
@@ -15,7 +15,9 @@
 
 constexpr auto kOrderDeadline = std::chrono::seconds(2);
 constexpr auto kLimitsPause = std::chrono::milliseconds(1500);
-constexpr auto kLedgersPause = std::chrono::seconds(20);
+constexpr auto kLedgersPause = std::chrono::seconds(3);
+/// Rounds of the ledgers between two sweeps by the VM that sweeps.
+constexpr int kSweepRounds = 7;
 constexpr auto kClaimsPause = std::chrono::seconds(3);
 constexpr auto kObjectivesPause = std::chrono::seconds(30);
 constexpr auto kRolloutsPause = std::chrono::seconds(1);
@@ -43,13 +45,23 @@
 
   bool Lives(const Incarnation& aIncarnation) const
   {
-    const auto members = mParts.mMembership->Members();
-    return std::any_of(
-      members.begin(), members.end(), [&aIncarnation](const Member& aMember) {
-        return aMember.mState.mName == aIncarnation.mVm &&
-               aIncarnation.mNonce.rfind(aMember.mState.mIncarnation, 0) == 0 &&
-               aMember.mHealth != VmHealth::Dead;
-      });
+    // NOTE: A VM has one life at a time. Where its name is alive under a newer
+    //       one, an older one that is only suspected is over.
+    bool suspected = false;
+    bool otherLife = false;
+    for (const Member& member : mParts.mMembership->Members()) {
+      if (member.mState.mName != aIncarnation.mVm) {
+        continue;
+      }
+      const bool same =
+        aIncarnation.mNonce.rfind(member.mState.mIncarnation, 0) == 0;
+      if (same && member.mHealth == VmHealth::Alive) {
+        return true;
+      }
+      suspected = suspected || (same && member.mHealth == VmHealth::Suspect);
+      otherLife = otherLife || (!same && member.mHealth == VmHealth::Alive);
+    }
+    return suspected && !otherLife;
   }
 
   /// Whether this VM is the one that does work which one VM should do. Two that
@@ -82,17 +94,13 @@
     // NOTE: The first round comes at the start, when the membership is still
     //       empty and everybody would pass for dead.
     if (mLedgerRounds++ > 0) {
-      CloseBooksOfTheDead();
+      CloseBooksOfTheDead(mLedgerRounds % kSweepRounds == 0 && IsFirst());
     }
   }
 
-  void CloseBooksOfTheDead()
+  void CloseBooksOfTheDead(bool aSweeps)
   {
-    const auto kept = KeepBooks(
-      mParts.mStore,
-      mParts.mHeld,
-      [this](const Incarnation& aIncarnation) { return Lives(aIncarnation); },
-      IsFirst());
+    const auto kept = KeepBooks(aSweeps);
     if (!kept) {
       Log(LogLevel::Warning,
           "upkeep",
@@ -101,6 +109,21 @@
     }
   }
 
+  /// Closes the ledgers of the dead whose entries are held here. The VM that
+  /// sweeps also closes those of which nobody holds entries, and folds.
+  ErrorOr<void> KeepBooks(bool aSweeps)
+  {
+    const IsAlive isAlive = [this](const Incarnation& aIncarnation) {
+      return Lives(aIncarnation);
+    };
+    ACACIAVALE_TRY_VOID(CloseDeadLedgers(mParts.mStore, mParts.mHeld, isAlive));
+    if (!aSweeps) {
+      return {};
+    }
+    ACACIAVALE_TRY_VOID(CloseAbandonedLedgers(mParts.mStore, isAlive));
+    return FoldLedgers(mParts.mStore);
+  }
+
   void StoreObjectives()
   {
     const auto revision =
@@ -217,6 +240,7 @@
 void Upkeep::Stop()
 {
   mPrivate->mThreads.clear();
+  mPrivate->CloseBooksOfTheDead(false);
   mPrivate->StoreObjectives();
   mPrivate->mParts.mLimits->Leave();
 }
@@ -224,7 +248,7 @@
 void Upkeep::OnVmDead()
 {
   asio::post(mPrivate->mParts.mBlocking,
-             [self = mPrivate.get()] { self->CloseBooksOfTheDead(); });
+             [self = mPrivate.get()] { self->CloseBooksOfTheDead(false); });
 }
 
 void Upkeep::CountEvidence(const EvidenceView& aEvidence)
