--- a/Tests/History/Driver.cpp
+++ b/Tests/History/Driver.cpp
@@ -68,7 +68,7 @@
   {
     const std::uint64_t number = ++mLastNumber;
     const auto most = static_cast<std::uint64_t>(mOptions.mCalls);
-    const bool over = (most != 0 && number > most) ||
+    const bool over = (most != 0 && mAnswered >= most) ||
                       (!mOptions.mUntilFile.empty() &&
                        std::filesystem::exists(mOptions.mUntilFile));
     return over ? 0 : number;
