--- a/Libraries/LibServer/Refresher.cpp
+++ b/Libraries/LibServer/Refresher.cpp
@@ -194,6 +194,11 @@
 void Refresher::OfferSettings(std::int64_t aGeneration,
                               const std::string& aRecord)
 {
+  // NOTE: The last life of this VM may have served a newer generation than a
+  //       peer that was cut off has. So the first one comes from the store.
+  if (mPrivate->mParts.mSettings.Generation() == 0) {
+    return;
+  }
   NoteOffer(mPrivate->mParts.mSettings.Offer(aGeneration, aRecord),
             aGeneration);
 }
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -4,25 +4,14 @@
 set -euo pipefail
 BUILD="$1"
 SUBSET="${2:-all}"
-WORK="$(mktemp -d)"
-PIDS=()
-
-stop_all() {
-  for pid in "${PIDS[@]}"; do kill "$pid" 2> /dev/null || true; done
-  for pid in "${PIDS[@]}"; do wait "$pid" 2> /dev/null || true; done
-  PIDS=()
-}
-trap 'stop_all; rm -rf "$WORK"' EXIT
-
-address() { sed -n "s/^$2=//p" "$1"; }
-wait_for() { for _ in $(seq 400); do [ -s "$1" ] && return 0; sleep 0.05; done; echo "no $1" >&2; return 1; }
+. Meta/processes.sh
 
 start() { # TIME-FACTOR of the engines
   rm -f "$WORK/stand-ins" "$WORK/vm"
   "$BUILD/Tests/acaciavale-stand-ins" --deployment jadran --engines 4 --services 1 --slots 4096 \
     --time-factor "$1" --announce "$WORK/stand-ins" --seed 1 2> "$WORK/stand-ins.log" &
   PIDS+=($!)
-  wait_for "$WORK/stand-ins"
+  wait_for "$WORK/stand-ins" "$WORK/stand-ins.log"
   cat > "$WORK/vm.ini" << INI
 [vm]
 name = vm-1
@@ -38,11 +27,8 @@
     --settings Benchmarks/PathMeasure.ini 2> "$WORK/vm.log" &
   VM=$!
   PIDS+=("$VM")
-  wait_for "$WORK/vm"
-  local operators
-  operators="$(address "$WORK/vm" operators)"
-  for _ in $(seq 400); do curl --noproxy '*' -fs "http://$operators/readyz" > /dev/null && return 0; sleep 0.05; done
-  echo "the VM is not ready" >&2; cat "$WORK/vm.log" >&2; return 1
+  wait_for "$WORK/vm" "$WORK/vm.log"
+  wait_ready "$WORK/vm" "$WORK/vm.log"
 }
 
 path() {
--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -4,22 +4,7 @@
 set -euo pipefail
 BUILD="$1"
 PROGRAM="$BUILD/Programs/acaciavale"
-WORK="$(mktemp -d)"
-PIDS=()
-
-stop_all() {
-  for pid in "${PIDS[@]}"; do kill "$pid" 2> /dev/null || true; done
-  for pid in "${PIDS[@]}"; do wait "$pid" 2> /dev/null || true; done
-  rm -rf "$WORK"
-}
-trap stop_all EXIT
-
-wait_for() { # FILE, and say whose log to read if it does not come
-  for _ in $(seq 200); do [ -s "$1" ] && return 0; sleep 0.05; done
-  echo "no $1" >&2; cat "$2" >&2; return 1
-}
-
-address() { sed -n "s/^$2=//p" "$1"; }
+. Meta/processes.sh
 
 start_vm() { # NUMBER FAILURE-DOMAIN WEIGHT
   cat > "$WORK/vm-$1.ini" << INI
@@ -40,16 +25,6 @@
   LAST=$!
 }
 
-wait_ready() {
-  local operators
-  operators="$(address "$WORK/vm-$1" operators)"
-  for _ in $(seq 200); do
-    curl --noproxy '*' -fs "http://$operators/readyz" > /dev/null && return 0
-    sleep 0.05
-  done
-  echo "vm-$1 is not ready" >&2; cat "$WORK/vm-$1.log" >&2; return 1
-}
-
 deployment() { # NAME DOMAIN-PREFIX
   rm -f "$WORK/stand-ins"
   "$BUILD/Tests/acaciavale-stand-ins" --deployment "$1" --announce "$WORK/stand-ins" --seed 1 2> "$WORK/stand-ins.log" &
@@ -64,14 +39,12 @@
   start_vm 3 "$2-c" 3
   local third="$LAST"
   for vm in 1 2 3; do wait_for "$WORK/vm-$vm" "$WORK/vm-$vm.log"; done
-  for vm in 1 2 3; do wait_ready "$vm"; done
+  for vm in 1 2 3; do wait_ready "$WORK/vm-$vm" "$WORK/vm-$vm.log"; done
   "$BUILD/Tests/acaciavale-demonstration" "$1" \
     "$(address "$WORK/vm-1" callers)" "$(address "$WORK/vm-2" callers)" "$(address "$WORK/vm-3" callers)" "$third"
   wait "$third" || { echo "vm-3 did not stop cleanly" >&2; cat "$WORK/vm-3.log" >&2; return 1; }
   echo "vm-3 stopped gracefully and exited 0."
-  for pid in "${PIDS[@]}"; do kill "$pid" 2> /dev/null || true; done
-  for pid in "${PIDS[@]}"; do wait "$pid" 2> /dev/null || true; done
-  PIDS=()
+  stop_all
 }
 
 deployment jadran hr-central
--- a/Tests/Demonstration/main.cpp
+++ b/Tests/Demonstration/main.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
 /// One line of the table.
 struct Line
 {
@@ -129,36 +132,18 @@
 
   void OnceWithoutKey(std::size_t aVm)
   {
-    const CallerAnswer answer = CallOnce(aVm, mStory.mOncePath, "");
-    Line line{ mStory.mOnce + ", no key",
-               mStory.mAccount,
-               VmName(aVm),
-               "",
-               "",
-               0,
-               "",
-               false };
-    const ChatAnswer problem = ReadChatAnswer(answer);
-    line.mRight = answer.mStatus == 400 && problem.mRan == "no";
-    line.mOutcome = "refused: " + problem.mError + ", ran: " + problem.mRan;
-    mLines.push_back(line);
+    AddRefusal(mStory.mOnce + ", no key",
+               aVm,
+               CallOnce(aVm, mStory.mOncePath, ""),
+               kBadRequest);
   }
 
   void ForeignModel(std::size_t aVm)
   {
-    const CallerAnswer answer = Call(ChatCall(aVm, "somebody-elses", false));
-    Line line{ "a model of somebody else",
-               mStory.mAccount,
-               VmName(aVm),
-               "",
-               "",
-               0,
-               "",
-               false };
-    const ChatAnswer problem = ReadChatAnswer(answer);
-    line.mRight = answer.mStatus == 404 && problem.mRan == "no";
-    line.mOutcome = "refused: " + problem.mError + ", ran: " + problem.mRan;
-    mLines.push_back(line);
+    AddRefusal("a model of somebody else",
+               aVm,
+               Call(ChatCall(aVm, "somebody-elses", false)),
+               kNotFound);
   }
 
   /// Asks the VM to stop once the first bytes of a stream have come through.
@@ -276,6 +261,18 @@
     mLines.push_back(line);
   }
 
+  void AddRefusal(const std::string& aWhat,
+                  std::size_t aVm,
+                  const CallerAnswer& aAnswer,
+                  int aStatus)
+  {
+    Line line{ aWhat, mStory.mAccount, VmName(aVm), "", "", 0, "", false };
+    const ChatAnswer problem = ReadChatAnswer(aAnswer);
+    line.mRight = aAnswer.mStatus == aStatus && problem.mRan == "no";
+    line.mOutcome = "refused: " + problem.mError + ", ran: " + problem.mRan;
+    mLines.push_back(line);
+  }
+
   void AddService(const std::string& aWhat,
                   std::size_t aVm,
                   const CallerAnswer& aAnswer,
