Count ratings towards the objectives, and mend what the linter found

Cause: the burn report had no quality, for nobody recorded ratings; the linter had not seen the server yet; a VM kept the low default bound on open files. Change: ratings go to the counters of the account and target; refusals of chat requests have a file of their own; serve raises its bound on open files.

--- a/Libraries/LibEndpoint/EndpointClient.cpp
+++ b/Libraries/LibEndpoint/EndpointClient.cpp
@@ -397,7 +397,8 @@
                      static_cast<curl_off_t>(request.mBody.size()));
   }
   for (const auto& [name, value] : request.mHeaders) {
-    const std::string line = name + ": " + value;
+    std::string line = name;
+    line.append(": ").append(value);
     aTransfer.mHeaderList =
       curl_slist_append(aTransfer.mHeaderList, line.c_str());
   }
--- a/Libraries/LibReport/Metrics.cpp
+++ b/Libraries/LibReport/Metrics.cpp
@@ -193,11 +193,11 @@
       const auto& [name, labels] = series;
       const std::string comma = labels.empty() ? "" : ",";
       for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
-        add(name,
-            "summary",
-            name + "{" + labels + comma + "quantile=\"" +
-              Number(kQuantiles[index]) + "\"} " +
-              Number(Accumulators::extended_p_square(values)[index]));
+        std::string line = name;
+        line.append("{").append(labels).append(comma).append("quantile=\"");
+        line.append(Number(kQuantiles[index])).append("\"} ");
+        line.append(Number(Accumulators::extended_p_square(values)[index]));
+        add(name, "summary", line);
       }
       add(name,
           "summary",
--- a/Libraries/LibServer/AnswerRatings.cpp
+++ b/Libraries/LibServer/AnswerRatings.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-void AnswerRatings::Note(RateableAnswer aAnswer, std::vector<EvidenceKey> aKeys)
+void AnswerRatings::Note(RateableAnswer aAnswer, RatedFor aFor)
 {
   const std::lock_guard guard(mLock);
   if (mToSend.size() >= kMaxToSend) {
@@ -18,17 +18,17 @@
     return;
   }
   mOrder.push_back(aAnswer.mRequest);
-  mKeys[aAnswer.mRequest] = std::move(aKeys);
+  mRatedFor[aAnswer.mRequest] = std::move(aFor);
   mToSend.push_back(std::move(aAnswer));
   while (mOrder.size() > kRememberedAnswers) {
-    mKeys.erase(mOrder.front());
+    mRatedFor.erase(mOrder.front());
     mOrder.pop_front();
   }
 }
 
 void AnswerRatings::Exchange(const RatingClient& aClient,
                              EvidenceStore& aEvidence,
-                             TimePoint aNow)
+                             SloCounters& aObjectives)
 {
   std::vector<RateableAnswer> toSend;
   std::uint64_t after = 0;
@@ -48,22 +48,25 @@
   const std::lock_guard guard(mLock);
   mLast = batch->mLast;
   for (const Rating& rating : batch->mRatings) {
-    TakeRating(rating, aEvidence, aNow);
+    TakeRating(rating, aEvidence, aObjectives);
   }
 }
 
 void AnswerRatings::TakeRating(const Rating& aRating,
                                EvidenceStore& aEvidence,
-                               TimePoint aNow)
+                               SloCounters& aObjectives)
 {
-  const auto found = mKeys.find(aRating.mAnswer.mRequest);
-  if (found == mKeys.end()) {
+  const auto found = mRatedFor.find(aRating.mAnswer.mRequest);
+  if (found == mRatedFor.end()) {
     return;
   }
-  for (const EvidenceKey& key : found->second) {
-    aEvidence.RecordRating(key, aRating.mGood, aNow);
+  const RatedFor& rated = found->second;
+  for (const EvidenceKey& key : rated.mKeys) {
+    aEvidence.RecordRating(key, aRating.mGood, MonotonicNow());
   }
-  mKeys.erase(found);
+  aObjectives.RecordRating(
+    rated.mAccount, rated.mTarget, aRating.mGood, CalendarNow());
+  mRatedFor.erase(found);
 }
 
 } // namespace Acaciavale
--- a/Libraries/LibServer/AnswerRatings.h
+++ b/Libraries/LibServer/AnswerRatings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Acaciavale/LibPlatform/RatingClient.h>
+#include <Acaciavale/LibReport/SloCounters.h>
 #include <Acaciavale/LibRouting/EvidenceStore.h>
 
 #include <deque>
@@ -11,29 +12,37 @@
 
 namespace Acaciavale {
 
+/// What a rating of an answer counts for.
+struct RatedFor
+{
+  std::vector<EvidenceKey> mKeys;
+  std::string mAccount;
+  std::string mTarget; ///< The model or cascade that the caller named.
+};
+
 /// Tells the rating service of this VM's answers and turns its ratings of them
 /// into evidence. Ratings of other VMs' answers are left to those VMs, so that
 /// each counts once. Thread-safe.
 class AnswerRatings
 {
 public:
-  /// Remembers an answer and the evidence that a rating of it is for.
-  void Note(RateableAnswer aAnswer, std::vector<EvidenceKey> aKeys);
+  /// Remembers an answer and what a rating of it is for.
+  void Note(RateableAnswer aAnswer, RatedFor aFor);
 
   /// Sends what was noted and takes the ratings that have come.
   void Exchange(const RatingClient& aClient,
                 EvidenceStore& aEvidence,
-                TimePoint aNow);
+                SloCounters& aObjectives);
 
 private:
   void TakeRating(const Rating& aRating,
                   EvidenceStore& aEvidence,
-                  TimePoint aNow);
+                  SloCounters& aObjectives);
 
   std::mutex mLock;
   std::vector<RateableAnswer> mToSend;
   std::deque<std::string> mOrder;
-  std::unordered_map<std::string, std::vector<EvidenceKey>> mKeys;
+  std::unordered_map<std::string, RatedFor> mRatedFor;
   std::uint64_t mLast = 0;
 };
 
--- a/Libraries/LibServer/ChatExchange.cpp
+++ b/Libraries/LibServer/ChatExchange.cpp
@@ -1,5 +1,7 @@
 #include "ChatExchange.h"
 
+#include "ChatProblems.h"
+
 #include <algorithm>
 #include <asio/post.hpp>
 
@@ -9,8 +11,8 @@
 
 constexpr std::size_t kMaxAnswerBytes = 8 << 20;
 /// Bytes waiting for a slow caller above which the endpoint is not read.
-constexpr std::size_t kHighWaterBytes = 64 * 1024;
-constexpr std::size_t kLowWaterBytes = 16 * 1024;
+constexpr std::size_t kHighWaterBytes = 65'536;
+constexpr std::size_t kLowWaterBytes = 16'384;
 constexpr int kMaxResumes = 2;
 constexpr int kOk = 200;
 constexpr double kPrefillSecondsPerToken = 0.0002;
@@ -18,46 +20,6 @@
 constexpr std::string_view kUsageMember = "\"usage\"";
 constexpr std::string_view kDoneEvent = "data: [DONE]\n\n";
 
-std::string NameOf(const CascadeStage& aStage)
-{
-  return aStage.mModel + "/" + aStage.mVersion;
-}
-
-Problem EngineFailed(Ran aRan)
-{
-  return Problem{ 502,
-                  "engine-failed",
-                  "The engines that were tried did not answer in full.",
-                  "Ask again after the stated time.",
-                  aRan,
-                  std::chrono::seconds(1) };
-}
-
-Problem DispatchExcluded(Exclusion aExclusion)
-{
-  return Problem{ 503,
-                  "version-excluded",
-                  "The chosen version may not be used any more: " +
-                    Describe(aExclusion) + ".",
-                  "Ask again; another version is then chosen.",
-                  Ran::No,
-                  std::chrono::milliseconds(1) };
-}
-
-Problem NothingFits(const VersionDecision& aDecision)
-{
-  std::string detail = "No permitted version fits:";
-  for (const VersionCandidate& candidate : aDecision.mCandidates) {
-    for (const CascadeStage& stage : candidate.mStages) {
-      detail += " " + NameOf(stage);
-    }
-    detail += " is excluded (" + Describe(candidate.mExclusion) + ");";
-  }
-  detail.back() = '.';
-  return Problem{ 503,     "no-version",           detail, aDecision.mReason,
-                  Ran::No, std::chrono::seconds(1) };
-}
-
 } // namespace
 
 void ChatExchange::Start(ServerShard& aShard,
@@ -84,7 +46,7 @@
 void ChatExchange::Begin()
 {
   if (auto prepared = Prepare(); !prepared) {
-    Refuse(std::move(prepared.error()));
+    Refuse(prepared.error());
     return;
   }
   const std::weak_ptr<ChatExchange> weak = weak_from_this();
@@ -565,16 +527,17 @@
 
 void ChatExchange::NoteRateable()
 {
-  std::vector<EvidenceKey> keys{
-    { Stage().mModel, Stage().mVersion, mRequest.mKind }
-  };
+  RatedFor rated;
+  rated.mAccount = mCaller.mAccount.mName;
+  rated.mTarget = mChat.mTarget;
+  rated.mKeys = { { Stage().mModel, Stage().mVersion, mRequest.mKind } };
   if (mNote.mDecision.mStages.size() > 1) {
-    keys.push_back(CascadeEvidenceKey(
+    rated.mKeys.push_back(CascadeEvidenceKey(
       mChat.mTarget, mNote.mDecision.mStages, mRequest.mKind));
   }
   mParts.mRatings.Note(
     { mNote.mRequest, Stage().mModel, Stage().mVersion, mRequest.mKind },
-    std::move(keys));
+    std::move(rated));
 }
 
 ChatReceipt ChatExchange::Receipt() const
@@ -643,7 +606,7 @@
   End("caller gone");
 }
 
-void ChatExchange::Refuse(Problem aProblem)
+void ChatExchange::Refuse(const Problem& aProblem)
 {
   if (mStreamStarted) {
     WriteToCaller(ErrorEvent(aProblem, mNote.mRequest));
--- a/Libraries/LibServer/ChatExchange.h
+++ b/Libraries/LibServer/ChatExchange.h
@@ -56,7 +56,7 @@
   void EnsureStreamStarted();
   void WriteToCaller(std::string aBytes);
   void OnCallerGone();
-  void Refuse(Problem aProblem);
+  void Refuse(const Problem& aProblem);
   void NoteObjectives(const std::string& aOutcome);
   void End(const std::string& aOutcome);
   bool IsLastStage() const;
--- a/Libraries/LibServer/Dispatch.cpp
+++ b/Libraries/LibServer/Dispatch.cpp
@@ -88,7 +88,7 @@
   const auto candidates = mPlan.mCandidates();
   if (!candidates) {
     result.mRefused = tl::make_unexpected(candidates.error());
-    End(std::move(result));
+    End(result);
     return;
   }
   const TimePoint now = MonotonicNow();
@@ -114,7 +114,7 @@
     });
   if (!decision.mIndex || chosen == candidates->end()) {
     result.mRefused = tl::make_unexpected(NoEndpoint());
-    End(std::move(result));
+    End(result);
     return;
   }
   Send(*chosen, decision.mReason);
@@ -232,10 +232,10 @@
   result.mRan = mMayHaveRun ? Ran::Unknown : Ran::No;
   result.mRelayed = mRelayed;
   result.mEndpoint = mEndpoint->Listing().mName;
-  End(std::move(result));
+  End(result);
 }
 
-void Dispatch::End(DispatchResult aResult)
+void Dispatch::End(const DispatchResult& aResult)
 {
   if (mEnded) {
     return;
--- a/Libraries/LibServer/Dispatch.h
+++ b/Libraries/LibServer/Dispatch.h
@@ -81,7 +81,7 @@
   void OnAttemptDone(const TransferResult& aResult);
   void FinishAttempt(const TransferResult& aResult, bool aAnswered);
   bool MayRetry(const TransferResult& aResult, bool aRefusedByEndpoint) const;
-  void End(DispatchResult aResult);
+  void End(const DispatchResult& aResult);
 
   ServerShard& mShard;
   DispatchPlan mPlan;
--- a/Libraries/LibServer/EventStreamReader.cpp
+++ b/Libraries/LibServer/EventStreamReader.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 256 * 1024;
+constexpr std::size_t kMaxEventBytes = 262'144;
 constexpr std::string_view kEndOfEvent = "\n\n";
 constexpr std::string_view kDataPrefix = "data:";
 
--- a/Libraries/LibServer/Refresher.cpp
+++ b/Libraries/LibServer/Refresher.cpp
@@ -176,7 +176,7 @@
       kRatingsPeriod,
       [&parts = mPrivate->mParts,
        client = RatingClient(ratings, kRatingsDeadline)] {
-        parts.mRatings.Exchange(client, parts.mEvidence, MonotonicNow());
+        parts.mRatings.Exchange(client, parts.mEvidence, parts.mObjectives);
       }));
   }
 }
--- a/Libraries/LibServer/Server.cpp
+++ b/Libraries/LibServer/Server.cpp
@@ -190,7 +190,7 @@
   };
   callbacks.mVmDead = [this](const Incarnation&) { mUpkeep->OnVmDead(); };
   callbacks.mTakeEvidence = [this] {
-    const EvidenceView report = mParts.mEvidence.TakeReport();
+    EvidenceView report = mParts.mEvidence.TakeReport();
     mUpkeep->CountEvidence(report);
     return report;
   };
--- a/Libraries/LibServer/ServiceExchange.cpp
+++ b/Libraries/LibServer/ServiceExchange.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::size_t kMaxKeyBytes = 256;
-constexpr std::size_t kMaxAnswerBytes = 512 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 524'288;
 constexpr std::int64_t kMaxBlockingQueued = 2048;
 constexpr auto kClaimMargin = std::chrono::seconds(5);
 constexpr auto kLeastHedgeWait = std::chrono::milliseconds(20);
@@ -125,7 +125,7 @@
 void ServiceExchange::Begin()
 {
   if (auto prepared = Prepare(); !prepared) {
-    Refuse(std::move(prepared.error()));
+    Refuse(prepared.error());
     return;
   }
   if (mRoute.mRepeatable) {
@@ -478,7 +478,7 @@
   mResponse.mSend(aAnswer.mStatus, headers, aAnswer.mBody);
 }
 
-void ServiceExchange::Refuse(Problem aProblem)
+void ServiceExchange::Refuse(const Problem& aProblem)
 {
   SendProblem(mResponse, aProblem, mNote.mRequest);
   End("refused: " + aProblem.mReason);
--- a/Libraries/LibServer/ServiceExchange.h
+++ b/Libraries/LibServer/ServiceExchange.h
@@ -43,7 +43,7 @@
   void OnFailed(const DispatchResult& aResult);
   void Bill();
   void Send(const StoredAnswer& aAnswer, bool aStored);
-  void Refuse(Problem aProblem);
+  void Refuse(const Problem& aProblem);
   void End(const std::string& aOutcome);
   /// Runs on a thread that may block, with the exchange kept alive.
   void Blocking(std::function<void()> aWork);
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -5,6 +5,7 @@
 BUILD="$1"
 SUBSET="${2:-all}"
 . Meta/processes.sh
+ulimit -n "$(ulimit -Hn)"
 
 start() { # TIME-FACTOR of the engines
   rm -f "$WORK/stand-ins" "$WORK/vm"
--- a/Programs/acaciavale/ServeCommand.cpp
+++ b/Programs/acaciavale/ServeCommand.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 #include <thread>
 
 namespace Acaciavale {
@@ -58,6 +59,17 @@
   return std::move(reading.mSettings);
 }
 
+/// Raises the bound on open files as far as the system lets a process: each
+/// stream takes two sockets, and each other VM two more.
+void RaiseOpenFileLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    (void)setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 /// Waits for SIGTERM or SIGINT and asks for a stop; a second signal changes
 /// nothing.
 void WatchSignals(Server& aServer, sigset_t aSignals)
@@ -95,6 +107,7 @@
       return kExitFindings;
     }
   }
+  RaiseOpenFileLimit();
   ConfigureLog(options.mNode.mLogLevel, options.mNode.mLogFormat);
   // Blocked before any thread starts, so that only the watcher takes them.
   sigset_t signals;
--- a/Tests/Callers/CallerClient.cpp
+++ b/Tests/Callers/CallerClient.cpp
@@ -132,7 +132,8 @@
     headers = curl_slist_append(headers, line.c_str());
   }
   for (const auto& [name, value] : aCall.mHeaders) {
-    const std::string line = name + ": " + value;
+    std::string line = name;
+    line.append(": ").append(value);
     headers = curl_slist_append(headers, line.c_str());
   }
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
--- a/Tests/LibEndpoint/TestEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestEndpointClient.cpp
@@ -216,7 +216,7 @@
     const std::size_t before = received;
     mContext.run_one();
     // Each resume may hand on one read and no more, for it pauses again.
-    CHECK(received - before <= 16 * 1024);
+    CHECK(received - before <= 16'384);
     client.Resume(transfer);
   }
   LONGS_EQUAL(100'000, received);
--- a/Tests/LibServer/TestEventStreamReader.cpp
+++ b/Tests/LibServer/TestEventStreamReader.cpp
@@ -41,7 +41,7 @@
   EventStreamReader reader;
   bool kept = true;
   for (int part = 0; part < 100 && kept; ++part) {
-    kept = reader.Feed(std::string(16 * 1024, 'x'), [](std::string_view) {});
+    kept = reader.Feed(std::string(16'384, 'x'), [](std::string_view) {});
   }
   CHECK_FALSE(kept);
 }
