Say 'unknown' where an engine's failure may have come after the work

Ruled out: connections lost, which are said to be unknown already. Change: only 429 and 503 say that an engine did no work; a choice whose version was withdrawn before its dispatch is made again; kinds of request are bounded.

--- a/Libraries/LibServer/ChatExchange.cpp
+++ b/Libraries/LibServer/ChatExchange.cpp
@@ -66,6 +66,7 @@
   mCaller =
     ACACIAVALE_TRY(Authenticate(mParts, mRequest, mNote.mRequest, deadline));
   mChat = ACACIAVALE_TRY(ParseChatRequest(mRequest.mBody));
+  mRequest.mKind = mParts.mKinds.Known(mRequest.mKind);
   ACACIAVALE_TRY_VOID(CheckTarget());
   mSession.mId = RandomToken(mShard.mRandom);
   mSession.mAccount = mCaller.mAccount.mName;
@@ -329,7 +330,10 @@
     return;
   }
   if (!aResult.mRefused && mChunksRelayed == 0) {
-    if (IsLastStage()) {
+    mRuns.pop_back(); // It was never sent.
+    if (DecidesAgain(aResult.mRefused.error())) {
+      RunStage();
+    } else if (IsLastStage()) {
       Refuse(aResult.mRefused.error());
     } else {
       Escalate();
@@ -352,6 +356,24 @@
   }
 }
 
+bool ChatExchange::DecidesAgain(const Problem& aProblem)
+{
+  // NOTE: The chosen version was withdrawn between the choice and its dispatch.
+  //       That must harm no caller, so the choice is made again, once.
+  if (aProblem.mReason != kVersionExcluded || mDecidedAgain) {
+    return false;
+  }
+  mDecidedAgain = true;
+  const auto settings = mParts.CurrentSettings();
+  if (!settings->mAccounts.contains(mCaller.mAccount.mName)) {
+    return false;
+  }
+  mCaller.mSettings = settings;
+  mCaller.mAccount = settings->mAccounts.at(mCaller.mAccount.mName);
+  mStageIndex = 0;
+  return Decide().has_value();
+}
+
 void ChatExchange::OnWholeAnswer(const DispatchResult& aResult)
 {
   const auto usage = ParseUsage(mBuffered);
--- a/Libraries/LibServer/ChatExchange.h
+++ b/Libraries/LibServer/ChatExchange.h
@@ -42,6 +42,7 @@
   void OnBytes(std::string_view aBytes);
   void OnEvent(std::string_view aEvent, std::string& aOut);
   void OnStageDone(const DispatchResult& aResult);
+  bool DecidesAgain(const Problem& aProblem);
   void OnWholeAnswer(const DispatchResult& aResult);
   void OnStreamDone(const DispatchResult& aResult);
   void ResumeStream();
@@ -78,6 +79,7 @@
   bool mEnded = false;
 
   std::size_t mStageIndex = 0;
+  bool mDecidedAgain = false;
   std::vector<StageRun> mRuns;
   std::shared_ptr<Dispatch> mDispatch;
   TimePoint mStageStart{};
--- a/Libraries/LibServer/ChatProblems.cpp
+++ b/Libraries/LibServer/ChatProblems.cpp
@@ -20,7 +20,7 @@
 Problem DispatchExcluded(Exclusion aExclusion)
 {
   return Problem{ 503,
-                  "version-excluded",
+                  kVersionExcluded,
                   "The chosen version may not be used any more: " +
                     Describe(aExclusion) + ".",
                   "Ask again; another version is then chosen.",
--- a/Libraries/LibServer/ChatProblems.h
+++ b/Libraries/LibServer/ChatProblems.h
@@ -13,6 +13,9 @@
 /// No engine answered in full.
 Problem EngineFailed(Ran aRan);
 
+/// The reason of DispatchExcluded.
+constexpr const char* kVersionExcluded = "version-excluded";
+
 /// The stage may not be dispatched by the newest settings.
 Problem DispatchExcluded(Exclusion aExclusion);
 
--- a/Libraries/LibServer/Dispatch.cpp
+++ b/Libraries/LibServer/Dispatch.cpp
@@ -10,15 +10,22 @@
 constexpr int kMaxAttempts = 3;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
+constexpr int kServiceUnavailable = 503;
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 
-/// Whether an engine's status means that it did not do the work and another
-/// replica may.
-bool RefusedByEndpoint(int aStatus)
+/// Whether an engine's status is a failure that another replica may mend.
+bool FailedAtEndpoint(int aStatus)
 {
   return aStatus == kTooManyRequests || aStatus >= kFirstServerErrorStatus;
 }
 
+/// Whether an engine's status says that it did no work. Any other failure may
+/// have come after the work was done.
+bool RefusedByEndpoint(int aStatus)
+{
+  return aStatus == kTooManyRequests || aStatus == kServiceUnavailable;
+}
+
 std::string_view RequestIdOf(const EndpointRequest& aRequest)
 {
   for (const auto& [name, value] : aRequest.mHeaders) {
@@ -164,8 +171,8 @@
 
 bool Dispatch::HandsOn() const
 {
-  const bool refused = mPlan.mRepeatable && RefusedByEndpoint(mStatus);
-  return !mEnded && !mCrossed && !refused;
+  const bool failed = mPlan.mRepeatable && FailedAtEndpoint(mStatus);
+  return !mEnded && !mCrossed && !failed;
 }
 
 void Dispatch::OnBody(std::string_view aBytes)
@@ -196,11 +203,10 @@
     { { "endpoint", name }, { "outcome", aAnswered ? "ok" : "failed" } });
 }
 
-bool Dispatch::MayRetry(const TransferResult& aResult,
-                        bool aRefusedByEndpoint) const
+bool Dispatch::MayRetry(const TransferResult& aResult) const
 {
-  const bool safe = aResult.mOutcome == TransferOutcome::NotSent ||
-                    mPlan.mRepeatable || aRefusedByEndpoint;
+  const bool safe =
+    aResult.mOutcome == TransferOutcome::NotSent || mPlan.mRepeatable;
   return safe && (mPlan.mBuffered || !mRelayed) && mAttempts < kMaxAttempts &&
          MonotonicNow() < mPlan.mDeadline;
 }
@@ -213,15 +219,15 @@
   const bool whole = aResult.mOutcome == TransferOutcome::Complete && !mCrossed;
   // NOTE: A status of a call that may not be repeated is its outcome, whatever
   //       it is: nothing says that a service which answers 500 did nothing.
-  const bool refused =
-    whole && mPlan.mRepeatable && RefusedByEndpoint(aResult.mStatus);
-  const bool answered = whole && !refused;
+  const bool failed =
+    whole && mPlan.mRepeatable && FailedAtEndpoint(aResult.mStatus);
+  const bool refused = failed && RefusedByEndpoint(aResult.mStatus);
+  const bool answered = whole && !failed;
   FinishAttempt(aResult, answered);
   if (aResult.mOutcome != TransferOutcome::NotSent && !refused) {
     mMayHaveRun = true;
   }
-  if (!answered && MayRetry(aResult, refused) &&
-      mShard.mParts.mRetries.TrySpend()) {
+  if (!answered && MayRetry(aResult) && mShard.mParts.mRetries.TrySpend()) {
     mShard.mParts.mMetrics.Count("acaciavale_retries_total", {});
     Attempt();
     return;
--- a/Libraries/LibServer/Dispatch.h
+++ b/Libraries/LibServer/Dispatch.h
@@ -80,7 +80,7 @@
   void OnBody(std::string_view aBytes);
   void OnAttemptDone(const TransferResult& aResult);
   void FinishAttempt(const TransferResult& aResult, bool aAnswered);
-  bool MayRetry(const TransferResult& aResult, bool aRefusedByEndpoint) const;
+  bool MayRetry(const TransferResult& aResult) const;
   void End(const DispatchResult& aResult);
 
   ServerShard& mShard;
--- a/Libraries/LibServer/ServerParts.h
+++ b/Libraries/LibServer/ServerParts.h
@@ -3,6 +3,7 @@
 #include "AnswerRatings.h"
 #include "DecisionLog.h"
 #include "EndpointTable.h"
+#include "RequestKinds.h"
 
 #include <Acaciavale/LibAdmission/Admission.h>
 #include <Acaciavale/LibBilling/Ledger.h>
@@ -50,6 +51,7 @@
   EndpointTable mEndpoints;
   EvidenceStore mEvidence;
   AnswerRatings mRatings;
+  RequestKinds mKinds;
   AdmissionControl mAdmission;
   AttemptBudget mRetries;
   AttemptBudget mHedges;
