Write every answer out before a stop, and be ready only once limits settle

And the demonstration met VMs that had been ready and then were not: while VMs start together the first epochs of limits follow each other, and a VM's part comes and goes. Change: a stop takes no more connections, asks callers to close theirs, and waits until all answers are written and nothing came for 300 ms; a VM is ready nine seconds after its start at the earliest.

--- a/Libraries/LibServer/HttpListener.cpp
+++ b/Libraries/LibServer/HttpListener.cpp
@@ -2,6 +2,7 @@
 
 #include "Problem.h"
 
+#include <atomic>
 #include <restinio/all.hpp>
 #include <unordered_map>
 
@@ -121,21 +122,57 @@
   }
 }
 
+/// What the listener's owner asks from other threads.
+struct ListenerState
+{
+  std::atomic<std::int64_t> mUnanswered{ 0 };
+  std::atomic<bool> mCloseAfterAnswers{ false };
+};
+
+/// Counts a request as unanswered for as long as it lives.
+class UnansweredRequest
+{
+public:
+  explicit UnansweredRequest(std::shared_ptr<ListenerState> aState)
+    : mState(std::move(aState))
+  {
+    mState->mUnanswered.fetch_add(1);
+  }
+  ~UnansweredRequest() { mState->mUnanswered.fetch_sub(1); }
+  UnansweredRequest(const UnansweredRequest&) = delete;
+  UnansweredRequest& operator=(const UnansweredRequest&) = delete;
+
+private:
+  std::shared_ptr<ListenerState> mState;
+};
+
+template<typename Builder>
+void CloseIfAsked(Builder& aBuilder, const ListenerState& aState)
+{
+  if (aState.mCloseAfterAnswers) {
+    aBuilder.connection_close();
+  }
+}
+
 CallerResponse ResponseTo(const restinio::request_handle_t& aRequest,
-                          const std::shared_ptr<ConnectionTable>& aTable)
+                          const std::shared_ptr<ConnectionTable>& aTable,
+                          const std::shared_ptr<ListenerState>& aState)
 {
+  // Held by the answer's last write, or by the functions that never made one.
+  const auto unanswered = std::make_shared<UnansweredRequest>(aState);
   auto stream = std::make_shared<std::unique_ptr<StreamBuilder>>();
   const auto id = aRequest->connection_id();
   CallerResponse response;
-  response.mSend = [aRequest, aTable, id](int aStatus,
-                                          const ResponseHeaders& aHeaders,
-                                          std::string aBody) {
-    auto builder = aRequest->create_response(StatusLine(aStatus));
-    AppendHeaders(builder, aHeaders);
-    builder.set_body(std::move(aBody));
-    aTable->AnswerSent(id);
-    builder.done();
-  };
+  response.mSend =
+    [aRequest, aTable, aState, unanswered, id](
+      int aStatus, const ResponseHeaders& aHeaders, std::string aBody) {
+      auto builder = aRequest->create_response(StatusLine(aStatus));
+      AppendHeaders(builder, aHeaders);
+      builder.set_body(std::move(aBody));
+      CloseIfAsked(builder, *aState);
+      aTable->AnswerSent(id);
+      builder.done([unanswered](const auto&) {});
+    };
   response.mStartStream = [aRequest, stream](int aStatus,
                                              const ResponseHeaders& aHeaders) {
     *stream = std::make_unique<StreamBuilder>(
@@ -152,9 +189,9 @@
       }
     });
   };
-  response.mFinish = [stream, aTable, id] {
+  response.mFinish = [stream, aTable, unanswered, id] {
     aTable->AnswerSent(id);
-    (*stream)->done();
+    (*stream)->done([unanswered](const auto&) {});
   };
   response.mWhenClosed = [aTable, id](std::function<void()> aClosed) {
     aTable->WhenClosed(id, std::move(aClosed));
@@ -192,12 +229,13 @@
   ListenerLimits mLimits;
   CallerHandler mHandler;
   std::shared_ptr<ConnectionTable> mTable = std::make_shared<ConnectionTable>();
+  std::shared_ptr<ListenerState> mState = std::make_shared<ListenerState>();
   std::unique_ptr<HttpServer> mServer;
 
   restinio::request_handling_status_t Handle(
     const restinio::request_handle_t& aRequest)
   {
-    CallerResponse response = ResponseTo(aRequest, mTable);
+    CallerResponse response = ResponseTo(aRequest, mTable, mState);
     if (mTable->Count() > mLimits.mMaxConnections) {
       SendProblem(response,
                   Problem{ 503,
@@ -294,6 +332,16 @@
   return bound;
 }
 
+void HttpListener::CloseAfterAnswers()
+{
+  mPrivate->mState->mCloseAfterAnswers = true;
+}
+
+std::int64_t HttpListener::Unanswered() const
+{
+  return mPrivate->mState->mUnanswered;
+}
+
 void HttpListener::Close()
 {
   if (mPrivate->mServer) {
--- a/Libraries/LibServer/HttpListener.h
+++ b/Libraries/LibServer/HttpListener.h
@@ -35,8 +35,13 @@
 
   /// Binds "IP:port"; port 0 lets the kernel choose. Returns the address bound.
   ErrorOr<std::string> Open(const std::string& aAddress);
-  /// Takes no more connections. Must run on the io_context's thread.
+  /// From now on each answer closes its connection. Thread-safe.
+  void CloseAfterAnswers();
+  /// Takes no more connections; those that there are live on. Must run on the
+  /// io_context's thread.
   void Close();
+  /// Requests whose answers have not been written out yet. Thread-safe.
+  std::int64_t Unanswered() const;
 
 private:
   struct Private;
--- a/Libraries/LibServer/Server.cpp
+++ b/Libraries/LibServer/Server.cpp
@@ -23,6 +23,9 @@
 constexpr auto kInFlightPoll = std::chrono::milliseconds(10);
 /// The longest that a graceful stop waits for requests under way.
 constexpr auto kLongestDrain = std::chrono::minutes(10);
+/// How long a stop waits for callers that read slowly.
+constexpr auto kLongestWrite = std::chrono::seconds(60);
+constexpr auto kQuietBeforeStop = std::chrono::milliseconds(300);
 /// How long a stop tries to close the ledger while the store is down.
 constexpr auto kLongestClose = std::chrono::seconds(60);
 constexpr auto kClosePause = std::chrono::milliseconds(250);
@@ -88,6 +91,7 @@
   VmState SelfState() const;
   MembershipCallbacks MakeCallbacks();
   void Drain();
+  void WaitUntilWritten();
   void CloseLedger();
   void HandOverHeldEntries();
   void StopThreads();
@@ -326,6 +330,9 @@
   // Callers keep an address for this long, so new work is taken until then.
   std::this_thread::sleep_for(keep);
   mParts.mRefusing = true;
+  for (const auto& shard : mShards) {
+    shard->mListener->CloseAfterAnswers();
+  }
   Log(LogLevel::Info, "server", "Waiting for requests under way.");
   const auto deadline = MonotonicNow() + kLongestDrain;
   while (mParts.mInFlight.load() > 0 && MonotonicNow() < deadline) {
@@ -333,6 +340,24 @@
   }
 }
 
+void Server::Private::WaitUntilWritten()
+{
+  // NOTE: A request is over for the exchange when its answer is handed to the
+  //       listener; a slow caller may still be reading it. And a connection
+  //       taken just now may not have sent its request yet.
+  const auto deadline = MonotonicNow() + kLongestWrite;
+  auto quietSince = MonotonicNow();
+  while (MonotonicNow() < deadline &&
+         MonotonicNow() - quietSince < kQuietBeforeStop) {
+    for (const auto& shard : mShards) {
+      if (shard->mListener->Unanswered() > 0) {
+        quietSince = MonotonicNow();
+      }
+    }
+    std::this_thread::sleep_for(kInFlightPoll);
+  }
+}
+
 void Server::Private::CloseLedger()
 {
   const auto deadline = MonotonicNow() + kLongestClose;
@@ -373,17 +398,17 @@
   HandOverHeldEntries();
   mParts.mMembership->Stop();
   mParts.mBlocking.join();
-  auto stop = [](ShardThread& aShard) {
-    asio::post(aShard.mShard.mContext, [&aShard] {
-      aShard.mListener->Close();
-      aShard.mShard.mContext.stop();
-    });
-    aShard.mThread.join();
-  };
   for (const auto& shard : mShards) {
-    stop(*shard);
+    asio::post(shard->mShard.mContext,
+               [&listener = *shard->mListener] { listener.Close(); });
+  }
+  WaitUntilWritten();
+  for (const auto& shard : mShards) {
+    shard->mShard.mContext.stop();
+    shard->mThread.join();
   }
-  stop(*mOperators);
+  mOperators->mShard.mContext.stop();
+  mOperators->mThread.join();
 }
 
 } // namespace Acaciavale
--- a/Libraries/LibServer/ServerParts.h
+++ b/Libraries/LibServer/ServerParts.h
@@ -33,6 +33,10 @@
   std::vector<RolloutView> mRollouts;
 };
 
+/// From the start of a VM until its part of the limits no longer comes and
+/// goes.
+constexpr auto kLimitsSettle = std::chrono::seconds(9);
+
 /// What all threads of a server share. Each part guards itself.
 struct ServerParts
 {
@@ -69,6 +73,7 @@
   std::atomic<std::int64_t> mBlockingQueued{ 0 };
   std::atomic<std::int64_t> mInFlight{ 0 };
   std::atomic<bool> mSeesStore{ false };
+  const TimePoint mStarted = MonotonicNow();
   /// When this VM last heard the store or a peer that sees it.
   std::atomic<TimePoint> mLastHeard{ MonotonicNow() };
   std::atomic<bool> mDraining{ false }; ///< Off the list, serving on.
@@ -78,7 +83,10 @@
   /// limits, without which it would refuse everything.
   bool IsReady() const
   {
-    return CurrentSettings() != nullptr && mLimits->Share() > 0;
+    // NOTE: While VMs start together, epochs of limits follow each other and a
+    //       part comes and goes; after this time the floor is settled.
+    return MonotonicNow() - mStarted >= kLimitsSettle &&
+           CurrentSettings() != nullptr && mLimits->Share() > 0;
   }
 
   /// The settings in force, or null before there are any.
