--- a/Libraries/LibServer/Caller.cpp
+++ b/Libraries/LibServer/Caller.cpp
@@ -113,8 +113,7 @@
 
 tl::expected<Caller, Problem> Authenticate(ServerParts& aParts,
                                            const CallerRequest& aRequest,
-                                           std::string aRequestId,
-                                           Duration aDefaultDeadline)
+                                           std::string aRequestId)
 {
   if (auto problem = NotServing(aParts)) {
     return tl::make_unexpected(std::move(*problem));
@@ -132,7 +131,8 @@
     return tl::make_unexpected(WrongKey());
   }
   caller.mAccount = *account;
-  const auto deadline = StatedDeadline(aRequest, aDefaultDeadline);
+  const auto deadline =
+    StatedDeadline(aRequest, caller.mSettings->mDeployment.mRequestDeadline);
   if (!deadline) {
     return tl::make_unexpected(deadline.error());
   }
--- a/Libraries/LibServer/Caller.h
+++ b/Libraries/LibServer/Caller.h
@@ -24,8 +24,7 @@
 /// takes new work at all.
 tl::expected<Caller, Problem> Authenticate(ServerParts& aParts,
                                            const CallerRequest& aRequest,
-                                           std::string aRequestId,
-                                           Duration aDefaultDeadline);
+                                           std::string aRequestId);
 
 /// Asks admission control; a success must be matched by FinishAdmission.
 tl::expected<void, Problem> Admit(ServerParts& aParts,
--- a/Libraries/LibServer/ChatExchange.cpp
+++ b/Libraries/LibServer/ChatExchange.cpp
@@ -60,11 +60,7 @@
 
 tl::expected<void, Problem> ChatExchange::Prepare()
 {
-  const auto settings = mParts.CurrentSettings();
-  const Duration deadline = settings ? settings->mDeployment.mRequestDeadline
-                                     : Duration(std::chrono::seconds(1));
-  mCaller =
-    ACACIAVALE_TRY(Authenticate(mParts, mRequest, mNote.mRequest, deadline));
+  mCaller = ACACIAVALE_TRY(Authenticate(mParts, mRequest, mNote.mRequest));
   mChat = ACACIAVALE_TRY(ParseChatRequest(mRequest.mBody));
   mRequest.mKind = mParts.mKinds.Known(mRequest.mKind);
   ACACIAVALE_TRY_VOID(CheckTarget());
--- a/Libraries/LibServer/ServiceExchange.cpp
+++ b/Libraries/LibServer/ServiceExchange.cpp
@@ -181,11 +181,7 @@
 
 tl::expected<void, Problem> ServiceExchange::Prepare()
 {
-  const auto settings = mParts.CurrentSettings();
-  const Duration deadline = settings ? settings->mDeployment.mRequestDeadline
-                                     : Duration(std::chrono::seconds(1));
-  mCaller =
-    ACACIAVALE_TRY(Authenticate(mParts, mRequest, mNote.mRequest, deadline));
+  mCaller = ACACIAVALE_TRY(Authenticate(mParts, mRequest, mNote.mRequest));
   ACACIAVALE_TRY_VOID(FindRoute(*mCaller.mSettings));
   ACACIAVALE_TRY_VOID(CheckKey());
   mCaller.mDeadline =
