--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -2,8 +2,13 @@
 #include <Acaciavale/LibCore/Time.h>
 
 #include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -16,6 +21,46 @@
 std::atomic<LogLevel> sLeastLevel{ LogLevel::Info };
 std::atomic<LogFormat> sFormat{ LogFormat::Text };
 
+/// Lines that wait for stdout at most. A line takes some hundred bytes, so this
+/// bounds the memory to about a megabyte.
+constexpr std::size_t kMostWaitingLines = 2048;
+
+/// Counts lines against a budget for each second; 0 is no budget.
+class LineBudget
+{
+public:
+  void Set(int aLinesPerSecond) { mLinesPerSecond = aLinesPerSecond; }
+
+  /// Whether a line may be written now. Lines dropped in seconds before are
+  /// handed over once, to be reported.
+  bool Take(std::int64_t& aDropped)
+  {
+    const int budget = mLinesPerSecond.load();
+    if (budget == 0) {
+      return true;
+    }
+    const std::int64_t second =
+      MonotonicNow().time_since_epoch() / std::chrono::seconds(1);
+    if (mSecond.exchange(second) != second) {
+      mTaken = 0;
+      aDropped = mDropped.exchange(0);
+    }
+    if (mTaken.fetch_add(1) < budget) {
+      return true;
+    }
+    mDropped += 1;
+    return false;
+  }
+
+private:
+  std::atomic<int> mLinesPerSecond{ 0 };
+  std::atomic<std::int64_t> mSecond{ 0 };
+  std::atomic<int> mTaken{ 0 };
+  std::atomic<std::int64_t> mDropped{ 0 };
+};
+
+LineBudget sBudget;
+
 std::string_view NameOf(LogLevel aLevel)
 {
   switch (aLevel) {
@@ -108,6 +153,28 @@
                               boost::log::keywords::auto_flush = true);
 }
 
+void ConfigureBoundedLog(LogLevel aLeast,
+                         LogFormat aFormat,
+                         int aLinesPerSecond)
+{
+  namespace sinks = boost::log::sinks;
+  using Queue =
+    sinks::bounded_fifo_queue<kMostWaitingLines, sinks::drop_on_overflow>;
+  sLeastLevel = aLeast;
+  sFormat = aFormat;
+  sBudget.Set(aLinesPerSecond);
+  const auto backend = boost::make_shared<sinks::text_ostream_backend>();
+  backend->add_stream(
+    boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  const auto sink = boost::make_shared<
+    sinks::asynchronous_sink<sinks::text_ostream_backend, Queue>>(backend);
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  boost::log::core::get()->remove_all_sinks();
+  boost::log::core::get()->add_sink(sink);
+}
+
 void Log(LogLevel aLevel,
          std::string_view aPart,
          std::string_view aSentence,
@@ -116,6 +183,17 @@
   if (aLevel < sLeastLevel.load()) {
     return;
   }
+  std::int64_t dropped = 0;
+  const bool isWithin = sBudget.Take(dropped);
+  if (dropped > 0) {
+    Log(LogLevel::Warning,
+        "log",
+        "Lines were dropped.",
+        { { "count", std::to_string(dropped) } });
+  }
+  if (!isWithin) {
+    return;
+  }
   const std::string line = sFormat.load() == LogFormat::Text
                              ? TextLine(aLevel, aPart, aSentence, aFields)
                              : JsonLine(aLevel, aPart, aSentence, aFields);
--- a/Libraries/LibCore/Time.cpp
+++ b/Libraries/LibCore/Time.cpp
@@ -1,5 +1,7 @@
 #include <Acaciavale/LibCore/Time.h>
 
+#include <ctime>
+
 namespace Acaciavale {
 
 TimePoint MonotonicNow()
@@ -7,6 +9,15 @@
   return std::chrono::steady_clock::now();
 }
 
+TimePoint SuspendAwareNow()
+{
+  timespec now{};
+  // NOTE: This clock exists on every Linux that the project runs on.
+  (void)clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
 UnixMilliseconds CalendarNow()
 {
   return std::chrono::duration_cast<UnixMilliseconds>(
--- /dev/null
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -0,0 +1,580 @@
+#include <Acaciavale/LibRelay/ClientSession.h>
+
+#include "SocketOptions.h"
+
+#include <Acaciavale/LibCore/Log.h>
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <deque>
+#include <set>
+#include <sstream>
+
+namespace Acaciavale::Relay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// How long a connection that was closed on our side may take to be closed by
+/// the caller: what it sent meanwhile is read, else the system resets the
+/// connection and the answer may be lost.
+constexpr Duration kLinger = std::chrono::seconds(2);
+/// Pause before the next accept when the process is out of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+constexpr int kAcceptQueue = 1024;
+
+std::string TextOf(const AnswerHead& aHead)
+{
+  std::ostringstream text;
+  text << aHead;
+  return text.str();
+}
+
+} // namespace
+
+struct ClientSession::Private
+{
+  explicit Private(asio::ip::tcp::socket aSocket)
+    : mSocket(std::move(aSocket))
+    , mTimer(mSocket.get_executor())
+  {
+  }
+
+  enum class Phase
+  {
+    Idle,
+    Reading,
+    Answering,
+    Closing,
+    Closed,
+  };
+
+  asio::ip::tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  std::shared_ptr<ListenerHooks> mHooks;
+  std::function<void()> mOnClosed;
+  boost::beast::flat_buffer mBuffer;
+  std::unique_ptr<http::request_parser<http::string_body>> mParser;
+  Request mRequest;
+  Phase mPhase = Phase::Idle;
+  std::deque<std::string> mOut;
+  std::size_t mUnwritten = 0;
+  bool mIsWriting = false;
+  bool mIsAnswered = false; ///< All of the answer is queued.
+  bool mCloses = false;     ///< The connection ends with this answer.
+  bool mIsChunked = true;
+  std::function<void()> mOnGone;
+  std::function<void()> mOnDrained;
+
+  void Arm(const std::shared_ptr<ClientSession>& aSelf, Duration aTimeout);
+  void WaitForRequest(const std::shared_ptr<ClientSession>& aSelf);
+  void ReadRequest(const std::shared_ptr<ClientSession>& aSelf);
+  void ReadRequestBody(const std::shared_ptr<ClientSession>& aSelf);
+  void TakeRequest(const std::shared_ptr<ClientSession>& aSelf);
+  void Reject(const std::shared_ptr<ClientSession>& aSelf,
+              const error_code& aError);
+  void WatchCaller(const std::shared_ptr<ClientSession>& aSelf);
+  void Write(const std::shared_ptr<ClientSession>& aSelf, std::string aText);
+  void WriteNext(const std::shared_ptr<ClientSession>& aSelf);
+  void FinishAnswer(const std::shared_ptr<ClientSession>& aSelf);
+  void Linger(const std::shared_ptr<ClientSession>& aSelf);
+  void Close();
+  void Gone();
+  bool Prepare(AnswerHead& aHead);
+};
+
+void ClientSession::Private::Arm(const std::shared_ptr<ClientSession>& aSelf,
+                                 Duration aTimeout)
+{
+  mTimer.expires_after(aTimeout);
+  mTimer.async_wait([aSelf](const error_code& aError) {
+    if (!aError) {
+      aSelf->mPrivate->Close();
+    }
+  });
+}
+
+void ClientSession::Private::Close()
+{
+  if (mPhase == Phase::Closed) {
+    return;
+  }
+  mPhase = Phase::Closed;
+  error_code ignored; // NOTE: The connection is given up either way.
+  mTimer.cancel(ignored);
+  mSocket.close(ignored);
+  mOut.clear();
+  mUnwritten = 0;
+  // NOTE: The handlers may be running; they go when the loop is back.
+  asio::post(mSocket.get_executor(),
+             [gone = std::move(mOnGone), drained = std::move(mOnDrained)] {});
+  mOnGone = {};
+  mOnDrained = {};
+  if (mOnClosed) {
+    mOnClosed();
+  }
+}
+
+void ClientSession::Private::Gone()
+{
+  const std::function<void()> call = std::move(mOnGone);
+  mOnGone = {};
+  Close();
+  if (call) {
+    call();
+  }
+}
+
+void ClientSession::Private::WaitForRequest(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  mPhase = Phase::Idle;
+  if (mBuffer.size() > 0) {
+    ReadRequest(aSelf);
+    return;
+  }
+  Arm(aSelf, mHooks->mBounds().mIdleTimeout);
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [aSelf](const error_code& aError) {
+                       Private& session = *aSelf->mPrivate;
+                       if (session.mPhase != Phase::Idle) {
+                         return;
+                       }
+                       if (aError) {
+                         session.Close();
+                         return;
+                       }
+                       session.ReadRequest(aSelf);
+                     });
+}
+
+void ClientSession::Private::ReadRequest(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  const RequestBounds bounds = mHooks->mBounds();
+  mPhase = Phase::Reading;
+  mParser = std::make_unique<http::request_parser<http::string_body>>();
+  mParser->header_limit(bounds.mHeaderBytes);
+  mParser->body_limit(bounds.mBodyBytes);
+  Arm(aSelf, bounds.mHeaderTimeout);
+  http::async_read_header(
+    mSocket, mBuffer, *mParser, [aSelf](const error_code& aError, std::size_t) {
+      Private& session = *aSelf->mPrivate;
+      if (session.mPhase != Phase::Reading) {
+        return;
+      }
+      if (aError) {
+        session.Reject(aSelf, aError);
+        return;
+      }
+      session.ReadRequestBody(aSelf);
+    });
+}
+
+void ClientSession::Private::ReadRequestBody(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  if (mParser->is_done()) {
+    TakeRequest(aSelf);
+    return;
+  }
+  if (mParser->get()[http::field::expect] == "100-continue") {
+    Write(aSelf, "HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  Arm(aSelf, mHooks->mBounds().mIdleTimeout);
+  http::async_read(
+    mSocket, mBuffer, *mParser, [aSelf](const error_code& aError, std::size_t) {
+      Private& session = *aSelf->mPrivate;
+      if (session.mPhase != Phase::Reading) {
+        return;
+      }
+      if (aError) {
+        session.Reject(aSelf, aError);
+        return;
+      }
+      session.TakeRequest(aSelf);
+    });
+}
+
+void ClientSession::Private::TakeRequest(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  error_code ignored; // NOTE: A timer that ran out has closed the session.
+  mTimer.cancel(ignored);
+  mRequest = mParser->release();
+  mParser.reset();
+  mPhase = Phase::Answering;
+  mIsAnswered = false;
+  mCloses = !mRequest.keep_alive();
+  WatchCaller(aSelf);
+  mHooks->mOnRequest(aSelf);
+}
+
+void ClientSession::Private::Reject(const std::shared_ptr<ClientSession>& aSelf,
+                                    const error_code& aError)
+{
+  AnswerHead head;
+  head.version(11);
+  if (aError == http::error::header_limit) {
+    head.result(http::status::request_header_fields_too_large);
+  } else if (aError == http::error::body_limit) {
+    head.result(http::status::payload_too_large);
+  } else if (aError.category() ==
+               http::make_error_code(http::error::bad_version).category() &&
+             aError != http::error::end_of_stream &&
+             aError != http::error::partial_message) {
+    head.result(http::status::bad_request);
+  } else {
+    Close();
+    return;
+  }
+  Log(LogLevel::Info,
+      "session",
+      "A request can't be read.",
+      { { "error", aError.message() } });
+  mCloses = true;
+  mPhase = Phase::Answering;
+  aSelf->Send(std::move(head), {});
+}
+
+void ClientSession::Private::WatchCaller(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  mSocket.async_wait(
+    asio::ip::tcp::socket::wait_read, [aSelf](const error_code& aError) {
+      Private& session = *aSelf->mPrivate;
+      const bool isOver = aError == asio::error::operation_aborted ||
+                          session.mPhase != Phase::Answering;
+      if (isOver) {
+        return;
+      }
+      error_code failure;
+      const std::size_t waiting = session.mSocket.available(failure);
+      // NOTE: Readable without bytes is the end of the connection. Bytes are
+      //       the next request, sent ahead; then the end can't be seen.
+      if (aError || failure || waiting == 0) {
+        session.Gone();
+      }
+    });
+}
+
+void ClientSession::Private::Write(const std::shared_ptr<ClientSession>& aSelf,
+                                   std::string aText)
+{
+  mUnwritten += aText.size();
+  mOut.push_back(std::move(aText));
+  if (!mIsWriting) {
+    WriteNext(aSelf);
+  }
+}
+
+void ClientSession::Private::WriteNext(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  mIsWriting = true;
+  asio::async_write(mSocket,
+                    asio::buffer(mOut.front()),
+                    [aSelf](const error_code& aError, std::size_t aWritten) {
+                      Private& session = *aSelf->mPrivate;
+                      session.mIsWriting = false;
+                      if (session.mPhase == Phase::Closed) {
+                        return;
+                      }
+                      if (aError) {
+                        session.Gone();
+                        return;
+                      }
+                      session.mUnwritten -= aWritten;
+                      session.mOut.pop_front();
+                      if (!session.mOut.empty()) {
+                        session.WriteNext(aSelf);
+                        return;
+                      }
+                      if (session.mIsAnswered) {
+                        session.FinishAnswer(aSelf);
+                        return;
+                      }
+                      if (session.mOnDrained) {
+                        session.mOnDrained();
+                      }
+                    });
+}
+
+void ClientSession::Private::FinishAnswer(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  mOnGone = {};
+  mOnDrained = {};
+  mRequest = {};
+  mIsAnswered = false;
+  if (mCloses) {
+    Linger(aSelf);
+    return;
+  }
+  error_code ignored; // NOTE: Ends the watch for the caller's leaving.
+  mSocket.cancel(ignored);
+  WaitForRequest(aSelf);
+}
+
+void ClientSession::Private::Linger(const std::shared_ptr<ClientSession>& aSelf)
+{
+  mPhase = Phase::Closing;
+  error_code failure;
+  mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+  if (failure) {
+    Close();
+    return;
+  }
+  Arm(aSelf, kLinger);
+  mBuffer.clear();
+  mSocket.async_read_some(
+    mBuffer.prepare(1024), [aSelf](const error_code& aError, std::size_t) {
+      if (aError) {
+        aSelf->mPrivate->Close();
+      } else if (aSelf->mPrivate->mPhase == Phase::Closing) {
+        aSelf->mPrivate->Linger(aSelf);
+      }
+    });
+}
+
+/// Sets what concerns this connection only; returns whether a body may follow.
+bool ClientSession::Private::Prepare(AnswerHead& aHead)
+{
+  mCloses = mCloses || mHooks->mIsLeaving();
+  aHead.version(11);
+  aHead.erase(http::field::connection);
+  if (mCloses) {
+    aHead.set(http::field::connection, "close");
+  }
+  const bool isEmpty = aHead.result() == http::status::no_content ||
+                       aHead.result() == http::status::not_modified;
+  return !isEmpty && mRequest.method() != http::verb::head;
+}
+
+ClientSession::ClientSession(std::unique_ptr<Private> aPrivate)
+  : mPrivate(std::move(aPrivate))
+{
+}
+
+ClientSession::~ClientSession() = default;
+
+const ClientSession::Request& ClientSession::OpenRequest() const
+{
+  return mPrivate->mRequest;
+}
+
+void ClientSession::OnGone(std::function<void()> aCall)
+{
+  mPrivate->mOnGone = std::move(aCall);
+}
+
+void ClientSession::OnDrained(std::function<void()> aCall)
+{
+  mPrivate->mOnDrained = std::move(aCall);
+}
+
+void ClientSession::Send(AnswerHead aHead, std::string aBody)
+{
+  if (mPrivate->mPhase != Private::Phase::Answering) {
+    return;
+  }
+  aHead.erase(http::field::transfer_encoding);
+  const bool hasBody = mPrivate->Prepare(aHead);
+  if (hasBody) {
+    aHead.set(http::field::content_length, std::to_string(aBody.size()));
+  }
+  mPrivate->mIsAnswered = true;
+  mPrivate->Write(shared_from_this(),
+                  TextOf(aHead) + (hasBody ? aBody : std::string()));
+}
+
+void ClientSession::BeginStream(AnswerHead aHead)
+{
+  if (mPrivate->mPhase != Private::Phase::Answering) {
+    return;
+  }
+  mPrivate->mIsChunked = mPrivate->mRequest.version() >= 11;
+  mPrivate->mCloses = mPrivate->mCloses || !mPrivate->mIsChunked;
+  aHead.erase(http::field::content_length);
+  aHead.erase(http::field::transfer_encoding);
+  mPrivate->Prepare(aHead);
+  if (mPrivate->mIsChunked) {
+    aHead.set(http::field::transfer_encoding, "chunked");
+  }
+  mPrivate->Write(shared_from_this(), TextOf(aHead));
+}
+
+void ClientSession::SendPiece(std::string_view aBytes)
+{
+  if (mPrivate->mPhase != Private::Phase::Answering || aBytes.empty()) {
+    return;
+  }
+  const asio::const_buffer bytes(aBytes.data(), aBytes.size());
+  mPrivate->Write(shared_from_this(),
+                  mPrivate->mIsChunked
+                    ? boost::beast::buffers_to_string(http::make_chunk(bytes))
+                    : std::string(aBytes));
+}
+
+void ClientSession::EndStream()
+{
+  if (mPrivate->mPhase != Private::Phase::Answering) {
+    return;
+  }
+  mPrivate->mIsAnswered = true;
+  if (mPrivate->mIsChunked) {
+    mPrivate->Write(shared_from_this(),
+                    boost::beast::buffers_to_string(http::make_chunk_last()));
+  } else if (!mPrivate->mIsWriting) {
+    mPrivate->FinishAnswer(shared_from_this());
+  }
+}
+
+void ClientSession::Break()
+{
+  mPrivate->Close();
+}
+
+std::size_t ClientSession::Unwritten() const
+{
+  return mPrivate->mUnwritten;
+}
+
+struct Listener::Private : public std::enable_shared_from_this<Private>
+{
+  Private(asio::io_context& aLoop, ListenerHooks aHooks)
+    : mAcceptor(aLoop)
+    , mTimer(aLoop)
+    , mHooks(std::make_shared<ListenerHooks>(std::move(aHooks)))
+  {
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  asio::steady_timer mTimer;
+  std::shared_ptr<ListenerHooks> mHooks;
+  std::set<std::shared_ptr<ClientSession>> mSessions;
+
+  void Accept();
+  void Begin(asio::ip::tcp::socket aSocket);
+};
+
+void Listener::Private::Accept()
+{
+  mAcceptor.async_accept(
+    [self = shared_from_this()](const error_code& aError,
+                                asio::ip::tcp::socket aSocket) {
+      if (!self->mAcceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        self->Begin(std::move(aSocket));
+        self->Accept();
+        return;
+      }
+      Log(LogLevel::Warning,
+          "listener",
+          "A connection can't be accepted.",
+          { { "error", aError.message() } });
+      self->mTimer.expires_after(kAcceptPause);
+      self->mTimer.async_wait([self](const error_code& aStopped) {
+        if (!aStopped && self->mAcceptor.is_open()) {
+          self->Accept();
+        }
+      });
+    });
+}
+
+void Listener::Private::Begin(asio::ip::tcp::socket aSocket)
+{
+  SetSocketOptions(aSocket);
+  std::shared_ptr<ClientSession> session(new ClientSession(
+    std::make_unique<ClientSession::Private>(std::move(aSocket))));
+  session->mPrivate->mHooks = mHooks;
+  session->mPrivate->mOnClosed = [self = weak_from_this(),
+                                  raw = std::weak_ptr(session)] {
+    const auto listener = self.lock();
+    if (listener) {
+      listener->mSessions.erase(raw.lock());
+    }
+  };
+  mSessions.insert(session);
+  session->mPrivate->WaitForRequest(session);
+}
+
+Listener::Listener(asio::io_context& aLoop,
+                   const std::string& aAddress,
+                   ListenerHooks aHooks)
+  : mPrivate(std::make_shared<Private>(aLoop, std::move(aHooks)))
+{
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    throw boost::system::system_error(
+      make_error_code(boost::system::errc::invalid_argument), aAddress);
+  }
+  mPrivate->mAcceptor.open(endpoint->protocol());
+  mPrivate->mAcceptor.set_option(asio::socket_base::reuse_address(true));
+  mPrivate->mAcceptor.bind(*endpoint);
+  mPrivate->mAcceptor.listen(kAcceptQueue);
+  mPrivate->Accept();
+}
+
+Listener::~Listener()
+{
+  Close();
+}
+
+std::string Listener::Address() const
+{
+  std::ostringstream text;
+  text << mPrivate->mAcceptor.local_endpoint();
+  return text.str();
+}
+
+void Listener::Close()
+{
+  error_code ignored; // NOTE: Nothing more is accepted either way.
+  mPrivate->mTimer.cancel(ignored);
+  mPrivate->mAcceptor.close(ignored);
+}
+
+void Listener::CloseIdle()
+{
+  const auto sessions = mPrivate->mSessions;
+  for (const auto& session : sessions) {
+    if (session->mPrivate->mPhase == ClientSession::Private::Phase::Idle) {
+      session->mPrivate->Close();
+    }
+  }
+}
+
+bool Listener::IsBusy() const
+{
+  return std::any_of(mPrivate->mSessions.begin(),
+                     mPrivate->mSessions.end(),
+                     [](const auto& aSession) {
+                       return aSession->mPrivate->mPhase !=
+                              ClientSession::Private::Phase::Idle;
+                     });
+}
+
+void Listener::BreakAll()
+{
+  const auto sessions = mPrivate->mSessions;
+  for (const auto& session : sessions) {
+    session->mPrivate->Close();
+  }
+}
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -0,0 +1,276 @@
+#include <Acaciavale/LibRelay/EndpointBook.h>
+
+#include <Acaciavale/LibRouting/EndpointSubset.h>
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// Weight of one more measurement in the pace of a pool, and in the slowness
+/// of one endpoint, which has fewer of them.
+constexpr double kPaceWeight = 0.05;
+constexpr double kSlownessWeight = 0.2;
+/// How long a slowness counts: half of it is forgotten in this time, so that
+/// an endpoint that was slow is tried again.
+constexpr double kSlownessHalfLifeSeconds = 8;
+constexpr double kLeastSlowness = 0.25;
+constexpr double kMostSlowness = 16;
+/// Engines read a prompt faster than this only if told otherwise; until the
+/// first measurement (seconds a token, from the engines' published rates).
+constexpr double kFirstSecondsPerToken = 0.00003;
+constexpr double kFirstSecondsPerAnswer = 0.03;
+/// How long an engine is taken to keep a shared part that it read: the time
+/// for which the deployments count one as kept, in seconds.
+constexpr double kPartKeptSeconds = 9;
+constexpr std::size_t kMostPartsKept = 256;
+/// Share of a pool that may be ejected; beyond it the fault is likely not
+/// that of the endpoints.
+constexpr double kEjectionCeiling = 0.5;
+
+double SecondsBetween(TimePoint aFrom, TimePoint aTo)
+{
+  return std::chrono::duration<double>(aTo - aFrom).count();
+}
+
+double SlownessAt(const Endpoint& aEndpoint, TimePoint aNow)
+{
+  const double age = std::max(0.0, SecondsBetween(aEndpoint.mSlownessAt, aNow));
+  return std::pow(aEndpoint.mSlowness,
+                  std::exp2(-age / kSlownessHalfLifeSeconds));
+}
+
+/// The hash of a name: the same on all VMs.
+std::uint64_t HashOf(const std::string& aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+bool Keeps(const Endpoint& aEndpoint, std::uint64_t aHash, TimePoint aNow)
+{
+  const auto found = aEndpoint.mSharedParts.find(aHash);
+  return found != aEndpoint.mSharedParts.end() &&
+         SecondsBetween(found->second, aNow) < kPartKeptSeconds;
+}
+
+} // namespace
+
+void EndpointBook::Replace(const std::vector<EndpointRecord>& aRecords)
+{
+  std::map<std::string, std::shared_ptr<Endpoint>> next;
+  for (const EndpointRecord& record : aRecords) {
+    const auto known = mEndpoints.find(record.mId);
+    const bool sameLifetime =
+      known != mEndpoints.end() &&
+      known->second->mRecord.mBorn == record.mBorn &&
+      known->second->mRecord.mAddress == record.mAddress;
+    auto endpoint = sameLifetime ? known->second : std::make_shared<Endpoint>();
+    endpoint->mRecord = record;
+    next.emplace(record.mId, std::move(endpoint));
+  }
+  for (const auto& [id, endpoint] : mEndpoints) {
+    const auto kept = next.find(id);
+    endpoint->mGone = kept == next.end() || kept->second != endpoint;
+  }
+  mEndpoints = std::move(next);
+}
+
+std::vector<std::shared_ptr<Endpoint>> EndpointBook::EndpointsOf(
+  const std::string& aPool) const
+{
+  std::vector<std::shared_ptr<Endpoint>> endpoints;
+  for (const auto& [id, endpoint] : mEndpoints) {
+    if (endpoint->mRecord.mPool == aPool) {
+      endpoints.push_back(endpoint);
+    }
+  }
+  return endpoints;
+}
+
+double EndpointBook::UsualSeconds(const std::string& aPool,
+                                  const SendWork& aWork) const
+{
+  const auto found = mPaces.find({ aPool, aWork.mModel });
+  const bool known = found != mPaces.end();
+  if (aWork.mPromptTokens > 0) {
+    const double perToken =
+      known ? found->second.mSecondsPerToken : kFirstSecondsPerToken;
+    return perToken * static_cast<double>(aWork.mPromptTokens);
+  }
+  return known ? found->second.mSecondsPerAnswer : kFirstSecondsPerAnswer;
+}
+
+Place EndpointBook::Choose(const PlaceQuery& aQuery,
+                           Random& aRandom,
+                           TimePoint aNow)
+{
+  const std::vector<std::shared_ptr<Endpoint>> all = EndpointsOf(aQuery.mPool);
+  const double usual = UsualSeconds(aQuery.mPool, aQuery.mWork);
+  const double perToken =
+    aQuery.mWork.mPromptTokens > 0
+      ? usual / static_cast<double>(aQuery.mWork.mPromptTokens)
+      : 0;
+  std::vector<EndpointView> views;
+  std::uint32_t full = 0;
+  std::uint32_t usable = 0;
+  for (std::uint32_t index = 0; index < all.size(); ++index) {
+    const Endpoint& endpoint = *all[index];
+    const bool mayTake =
+      !endpoint.mRecord.mLeaving &&
+      (!aQuery.mMayTake || aQuery.mMayTake(endpoint.mRecord.mVersion));
+    const bool wasTried =
+      std::find(aQuery.mTried.begin(), aQuery.mTried.end(), &endpoint) !=
+      aQuery.mTried.end();
+    if (!mayTake || wasTried) {
+      continue;
+    }
+    ++usable;
+    if (aQuery.mMostInFlight > 0 &&
+        endpoint.mInFlight >= aQuery.mMostInFlight) {
+      ++full;
+      continue;
+    }
+    EndpointView view;
+    view.mIndex = index;
+    view.mKey = HashOf(endpoint.mRecord.mId);
+    view.mFailureDomain =
+      static_cast<std::uint32_t>(HashOf(endpoint.mRecord.mFailureDomain));
+    view.mEjected = IsBlocked(endpoint.mHealth, endpoint.mInFlight, aNow);
+    view.mOwnInFlight = endpoint.mInFlight;
+    view.mReportedInFlight = endpoint.mLoad.mRunning + endpoint.mLoad.mWaiting;
+    view.mOwnInFlightAtReport = endpoint.mInFlightAtLoad;
+    view.mReportAge = aNow - endpoint.mLoadAt;
+    view.mSlots = std::max(1, endpoint.mRecord.mSlots);
+    const double busy =
+      static_cast<double>(std::max(view.mOwnInFlight, view.mReportedInFlight)) /
+      view.mSlots;
+    const double backlog =
+      perToken * static_cast<double>(endpoint.mWaitingTokens);
+    view.mSecondsPerRequest =
+      SlownessAt(endpoint, aNow) * (usual + backlog) * (1 + busy);
+    view.mTurnoverSeconds = SecondsOf(endpoint.mTurnover);
+    view.mErrorShare = ExpectedErrorShare(endpoint.mHealth, aNow);
+    view.mPrefixShare = aQuery.mWork.mSharedHash != 0 &&
+                            Keeps(endpoint, aQuery.mWork.mSharedHash, aNow)
+                          ? 1
+                          : 0;
+    views.push_back(view);
+  }
+  // NOTE: Where all that is left is ejected, trying one beats refusing.
+  if (std::all_of(views.begin(), views.end(), [](const EndpointView& aView) {
+        return aView.mEjected;
+      })) {
+    for (EndpointView& view : views) {
+      view.mEjected = false;
+    }
+  }
+  EndpointQuery query;
+  query.mFailureDomain =
+    static_cast<std::uint32_t>(HashOf(aQuery.mFailureDomain));
+  query.mLiveVms = aQuery.mLiveVms;
+  query.mCrossDomainSeconds = aQuery.mCrossDomainSeconds;
+  query.mPrefixHash = aQuery.mWork.mSharedHash;
+  query.mPrefillSeconds =
+    perToken * static_cast<double>(aQuery.mWork.mSharedTokens);
+  const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
+  Place place;
+  place.mIsFull = usable > 0 && full == usable;
+  place.mExpectedSeconds = decision.mScore;
+  place.mReason = decision.mReason;
+  if (decision.mIndex) {
+    place.mEndpoint = all[*decision.mIndex];
+  }
+  return place;
+}
+
+void EndpointBook::RecordSend(Endpoint& aEndpoint,
+                              const SendWork& aWork,
+                              TimePoint aNow)
+{
+  aEndpoint.mInFlight += 1;
+  aEndpoint.mWaitingTokens += aWork.mPromptTokens;
+  if (aWork.mSharedHash != 0) {
+    aEndpoint.mSharedParts[aWork.mSharedHash] = aNow;
+    if (aEndpoint.mSharedParts.size() > kMostPartsKept) {
+      std::erase_if(aEndpoint.mSharedParts, [&](const auto& aPart) {
+        return SecondsBetween(aPart.second, aNow) >= kPartKeptSeconds;
+      });
+    }
+  }
+}
+
+void EndpointBook::RecordFirstEvent(Endpoint& aEndpoint,
+                                    const SendWork& aWork,
+                                    double aSeconds,
+                                    TimePoint aNow)
+{
+  aEndpoint.mWaitingTokens -= aWork.mPromptTokens;
+  const double usual = UsualSeconds(aEndpoint.mRecord.mPool, aWork);
+  if (usual > 0) {
+    const double ratio =
+      std::clamp(aSeconds / usual, kLeastSlowness, kMostSlowness);
+    aEndpoint.mSlowness = SlownessAt(aEndpoint, aNow);
+    aEndpoint.mSlowness += kSlownessWeight * (ratio - aEndpoint.mSlowness);
+    aEndpoint.mSlownessAt = aNow;
+  }
+  PoolPace& pace = mPaces[{ aEndpoint.mRecord.mPool, aWork.mModel }];
+  const bool isFirst = pace.mSecondsPerAnswer == 0;
+  const double weight = isFirst ? 1 : kPaceWeight;
+  pace.mSecondsPerAnswer += weight * (aSeconds - pace.mSecondsPerAnswer);
+  if (aWork.mPromptTokens > 0) {
+    const double perToken = aSeconds / static_cast<double>(aWork.mPromptTokens);
+    pace.mSecondsPerToken += weight * (perToken - pace.mSecondsPerToken);
+  }
+}
+
+void EndpointBook::RecordLoad(Endpoint& aEndpoint,
+                              const ToldLoad& aLoad,
+                              TimePoint aNow)
+{
+  aEndpoint.mLoad = aLoad;
+  aEndpoint.mLoadAt = aNow;
+  aEndpoint.mInFlightAtLoad = aEndpoint.mInFlight;
+}
+
+void EndpointBook::RecordEnd(Endpoint& aEndpoint,
+                             const SendWork& aWork,
+                             bool aHadFirstEvent,
+                             const SendOutcome& aOutcome,
+                             TimePoint aNow)
+{
+  aEndpoint.mInFlight -= 1;
+  if (!aHadFirstEvent) {
+    aEndpoint.mWaitingTokens -= aWork.mPromptTokens;
+  }
+  if (!aOutcome.mCounts) {
+    return;
+  }
+  aEndpoint.mHealth =
+    Recorded(aEndpoint.mHealth,
+             EndpointOutcome{ !aOutcome.mFailed, aOutcome.mFirstSeconds },
+             aNow);
+  if (aOutcome.mFailed) {
+    Eject(aEndpoint.mRecord.mPool, aNow);
+  } else if (aOutcome.mWholeSeconds > 0) {
+    aEndpoint.mTurnover = Recorded(aEndpoint.mTurnover, aOutcome.mWholeSeconds);
+  }
+}
+
+void EndpointBook::Eject(const std::string& aPool, TimePoint aNow)
+{
+  const std::vector<std::shared_ptr<Endpoint>> endpoints = EndpointsOf(aPool);
+  std::vector<EndpointHealth> healths;
+  healths.reserve(endpoints.size());
+  for (const auto& endpoint : endpoints) {
+    healths.push_back(endpoint->mHealth);
+  }
+  healths = WithEjections(std::move(healths), kEjectionCeiling, aNow);
+  for (std::size_t index = 0; index < endpoints.size(); ++index) {
+    endpoints[index]->mHealth = healths[index];
+  }
+}
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/Libraries/LibRelay/EventText.cpp
@@ -0,0 +1,66 @@
+#include <Acaciavale/LibRelay/EventText.h>
+
+#include <charconv>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// The end of the first event, behind its blank line, or npos.
+std::size_t EndOfEvent(std::string_view aText)
+{
+  const std::size_t plain = aText.find("\n\n");
+  const std::size_t windows = aText.find("\r\n\r\n");
+  if (windows < plain) {
+    return windows + 4;
+  }
+  return plain == std::string_view::npos ? plain : plain + 2;
+}
+
+std::optional<std::int64_t> IdOf(std::string_view aEvent)
+{
+  std::optional<std::int64_t> id;
+  std::size_t start = 0;
+  while (start < aEvent.size()) {
+    const std::size_t end = std::min(aEvent.find('\n', start), aEvent.size());
+    std::string_view line = aEvent.substr(start, end - start);
+    start = end + 1;
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    std::int64_t number = 0;
+    const auto parsed =
+      std::from_chars(line.data(), line.data() + line.size(), number);
+    if (parsed.ec == std::errc()) {
+      id = number;
+    }
+  }
+  return id;
+}
+
+} // namespace
+
+std::vector<EventPiece> EventText::Append(std::string_view aBytes)
+{
+  mRest += aBytes;
+  std::vector<EventPiece> events;
+  std::size_t start = 0;
+  for (;;) {
+    const std::string_view left = std::string_view(mRest).substr(start);
+    const std::size_t end = EndOfEvent(left);
+    if (end == std::string_view::npos) {
+      break;
+    }
+    const std::string_view event = left.substr(0, end);
+    events.push_back({ std::string(event), IdOf(event) });
+    start += end;
+  }
+  mRest.erase(0, start);
+  return events;
+}
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -0,0 +1,264 @@
+#include <Acaciavale/LibRelay/OutboundCall.h>
+
+#include "SocketOptions.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+
+namespace Acaciavale::Relay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Bytes of a body that are read at once.
+constexpr std::size_t kReadBytes = 8192;
+/// Bytes of an answer's head, as most servers bound it.
+constexpr std::uint32_t kHeadBytes = 16384;
+
+} // namespace
+
+std::string_view Describe(CallEnd aEnd)
+{
+  switch (aEnd) {
+    case CallEnd::Complete:
+      return "complete";
+    case CallEnd::NotConnected:
+      return "not connected";
+    case CallEnd::NoAnswer:
+      return "no answer";
+    case CallEnd::NotHttp:
+      return "not HTTP";
+    case CallEnd::BrokenOff:
+      return "broken off";
+  }
+  return "unknown";
+}
+
+struct OutboundCall::Private
+{
+  Private(asio::io_context& aLoop, CallTerms aTerms, CallHandlers aHandlers)
+    : mSocket(aLoop)
+    , mTimer(aLoop)
+    , mAddress(std::move(aTerms.mAddress))
+    , mConnectTimeout(aTerms.mConnectTimeout)
+    , mHandlers(std::move(aHandlers))
+  {
+    mRequest.base() = std::move(aTerms.mHead);
+    mRequest.body() = std::move(aTerms.mBody);
+    mParser.header_limit(kHeadBytes);
+    // NOTE: Beast 1.74 takes no limit for a limit of 0 when a body has a
+    // length.
+    mParser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (mRequest.method() == http::verb::head) {
+      mParser.skip(true);
+    }
+  }
+
+  asio::ip::tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  std::string mAddress;
+  Duration mConnectTimeout;
+  CallHandlers mHandlers;
+  http::request<http::string_body> mRequest;
+  http::response_parser<http::buffer_body> mParser;
+  boost::beast::flat_buffer mBuffer;
+  std::array<char, kReadBytes> mChunk{};
+  bool mIsEnded = false;
+  bool mIsPaused = false;
+  bool mIsReading = false;
+  bool mWasWritten = false;
+  bool mHasHead = false;
+
+  void Close()
+  {
+    mIsEnded = true;
+    error_code ignored; // NOTE: The connection is given up either way.
+    mTimer.cancel(ignored);
+    mSocket.close(ignored);
+  }
+
+  void End(CallEnd aEnd)
+  {
+    if (mIsEnded) {
+      return;
+    }
+    Close();
+    const CallHandlers handlers = std::move(mHandlers);
+    mHandlers = {};
+    handlers.mOnEnd(aEnd);
+  }
+
+  void Connect(const std::shared_ptr<OutboundCall>& aSelf);
+  void Write(const std::shared_ptr<OutboundCall>& aSelf);
+  void ReadHead(const std::shared_ptr<OutboundCall>& aSelf);
+  void ReadBody(const std::shared_ptr<OutboundCall>& aSelf);
+  void TakeBody(const std::shared_ptr<OutboundCall>& aSelf,
+                const error_code& aError);
+};
+
+void OutboundCall::Private::Connect(const std::shared_ptr<OutboundCall>& aSelf)
+{
+  const auto endpoint = ParseAddress(mAddress);
+  error_code failure;
+  if (endpoint) {
+    mSocket.open(endpoint->protocol(), failure);
+  }
+  if (!endpoint || failure) {
+    asio::post(mSocket.get_executor(),
+               [aSelf] { aSelf->mPrivate->End(CallEnd::NotConnected); });
+    return;
+  }
+  SetSocketOptions(mSocket);
+  mTimer.expires_after(mConnectTimeout);
+  mTimer.async_wait([aSelf](const error_code& aError) {
+    if (!aError) {
+      aSelf->mPrivate->End(CallEnd::NotConnected);
+    }
+  });
+  mSocket.async_connect(*endpoint, [aSelf](const error_code& aError) {
+    Private& call = *aSelf->mPrivate;
+    if (call.mIsEnded) {
+      return;
+    }
+    if (aError) {
+      call.End(CallEnd::NotConnected);
+      return;
+    }
+    error_code ignored; // NOTE: A timer that ran out has ended the call.
+    call.mTimer.cancel(ignored);
+    call.Write(aSelf);
+  });
+}
+
+void OutboundCall::Private::Write(const std::shared_ptr<OutboundCall>& aSelf)
+{
+  mWasWritten = true;
+  // NOTE: An endpoint may answer before it has read the body, so both go on
+  //       side by side; a failed write shows when the answer is read.
+  http::async_write(
+    mSocket, mRequest, [aSelf](const error_code&, std::size_t) {});
+  ReadHead(aSelf);
+}
+
+void OutboundCall::Private::ReadHead(const std::shared_ptr<OutboundCall>& aSelf)
+{
+  http::async_read_header(
+    mSocket, mBuffer, mParser, [aSelf](const error_code& aError, std::size_t) {
+      Private& call = *aSelf->mPrivate;
+      if (call.mIsEnded) {
+        return;
+      }
+      if (aError) {
+        const bool isHttp =
+          aError.category() !=
+            http::make_error_code(http::error::end_of_stream).category() ||
+          aError == http::error::end_of_stream ||
+          aError == http::error::partial_message;
+        call.End(isHttp ? CallEnd::NoAnswer : CallEnd::NotHttp);
+        return;
+      }
+      call.mHasHead = true;
+      call.mHandlers.mOnHead(call.mParser.get().base());
+      if (call.mIsEnded) {
+        return;
+      }
+      if (call.mParser.is_done()) {
+        call.End(CallEnd::Complete);
+        return;
+      }
+      call.ReadBody(aSelf);
+    });
+}
+
+void OutboundCall::Private::ReadBody(const std::shared_ptr<OutboundCall>& aSelf)
+{
+  if (mIsReading || mIsPaused || mIsEnded) {
+    return;
+  }
+  mIsReading = true;
+  mParser.get().body().data = mChunk.data();
+  mParser.get().body().size = mChunk.size();
+  mParser.get().body().more = true;
+  http::async_read_some(
+    mSocket, mBuffer, mParser, [aSelf](const error_code& aError, std::size_t) {
+      aSelf->mPrivate->mIsReading = false;
+      aSelf->mPrivate->TakeBody(aSelf, aError);
+    });
+}
+
+void OutboundCall::Private::TakeBody(const std::shared_ptr<OutboundCall>& aSelf,
+                                     const error_code& aError)
+{
+  if (mIsEnded) {
+    return;
+  }
+  const std::size_t taken = mChunk.size() - mParser.get().body().size;
+  if (taken > 0) {
+    mHandlers.mOnBody(std::string_view(mChunk.data(), taken));
+    if (mIsEnded) {
+      return;
+    }
+  }
+  if (aError && aError != http::error::need_buffer) {
+    End(CallEnd::BrokenOff);
+    return;
+  }
+  if (mParser.is_done()) {
+    End(CallEnd::Complete);
+    return;
+  }
+  ReadBody(aSelf);
+}
+
+OutboundCall::OutboundCall(std::unique_ptr<Private> aPrivate)
+  : mPrivate(std::move(aPrivate))
+{
+}
+
+OutboundCall::~OutboundCall() = default;
+
+std::shared_ptr<OutboundCall> OutboundCall::Start(asio::io_context& aLoop,
+                                                  CallTerms aTerms,
+                                                  CallHandlers aHandlers)
+{
+  std::shared_ptr<OutboundCall> call(new OutboundCall(
+    std::make_unique<Private>(aLoop, std::move(aTerms), std::move(aHandlers))));
+  call->mPrivate->Connect(call);
+  return call;
+}
+
+void OutboundCall::Cancel()
+{
+  if (!mPrivate->mIsEnded) {
+    mPrivate->Close();
+    // NOTE: A handler may be what cancels; it must outlive its own call.
+    asio::post(mPrivate->mSocket.get_executor(),
+               [self = shared_from_this()] { self->mPrivate->mHandlers = {}; });
+  }
+}
+
+void OutboundCall::SetPaused(bool aIsPaused)
+{
+  mPrivate->mIsPaused = aIsPaused;
+  if (!aIsPaused && mPrivate->mHasHead && !mPrivate->mIsEnded) {
+    mPrivate->ReadBody(shared_from_this());
+  }
+}
+
+bool OutboundCall::WasWritten() const
+{
+  return mPrivate->mWasWritten;
+}
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/Libraries/LibRelay/Relay.cpp
@@ -0,0 +1,150 @@
+#include <Acaciavale/LibRelay/Relay.h>
+
+#include "Exchange.h"
+#include "RelayState.h"
+
+#include <Acaciavale/LibCore/Log.h>
+
+#include <algorithm>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// Weight of the newest gap between two starts in the smoothed pace.
+constexpr double kPaceWeight = 0.1;
+
+} // namespace
+
+bool RelayState::KnowsKeys() const
+{
+  return mSettings && SuspendAwareNow() - mAskedAt < mOptions.mKeyProof;
+}
+
+std::optional<Course> RelayState::CourseOf(const std::string& aPool) const
+{
+  const auto found = mCourses.find(aPool);
+  return found == mCourses.end() ? std::nullopt
+                                 : std::optional<Course>(found->second);
+}
+
+void RelayState::ServeLine(const std::string& aPool)
+{
+  const auto found = mLines.find(aPool);
+  if (found == mLines.end()) {
+    return;
+  }
+  PoolLine& pool = found->second;
+  while (const auto ticket = pool.mLine.Next(MonotonicNow())) {
+    const auto exchange = pool.mWaiting[*ticket].lock();
+    if (exchange && !exchange->TryLeaveLine()) {
+      return;
+    }
+    pool.mLine.Remove(*ticket);
+    pool.mWaiting.erase(*ticket);
+  }
+}
+
+void RelayState::RecordStart(const std::string& aPool, TimePoint aNow)
+{
+  PoolLine& pool = mLines[aPool];
+  if (pool.mLastStart != TimePoint{}) {
+    const double gap = std::max(
+      0.0001, std::chrono::duration<double>(aNow - pool.mLastStart).count());
+    pool.mStartsPerSecond += kPaceWeight * (1 / gap - pool.mStartsPerSecond);
+  }
+  pool.mLastStart = aNow;
+}
+
+Relay::Relay(boost::asio::io_context& aLoop,
+             WireCodec aCodec,
+             RelayOptions aOptions)
+  : mState(std::make_shared<RelayState>(aLoop,
+                                        std::move(aCodec),
+                                        std::move(aOptions)))
+{
+}
+
+Relay::~Relay() = default;
+
+void Relay::SetOptions(RelayOptions aOptions)
+{
+  mState->mOptions = std::move(aOptions);
+}
+
+void Relay::Apply(FleetView aView)
+{
+  const bool isNewer =
+    aView.mSettings && (!mState->mSettings || aView.mSettings->mVersion >=
+                                                mState->mSettings->mVersion);
+  if (isNewer) {
+    if (!mState->mSettings ||
+        mState->mSettings->mVersion != aView.mSettings->mVersion) {
+      Log(LogLevel::Info,
+          "relay",
+          "Settings are in force.",
+          { { "version", std::to_string(aView.mSettings->mVersion) } });
+    }
+    mState->mSettings = std::move(aView.mSettings);
+  }
+  mState->mBook.Replace(aView.mEndpoints);
+  for (const auto& [pool, course] : aView.mCourses) {
+    const auto known = mState->mCourses.find(pool);
+    const bool isNewOrder =
+      known == mState->mCourses.end() ||
+      known->second.mOrder.mRevision != course.mOrder.mRevision;
+    if (isNewOrder) {
+      mState->mEvidence[pool] = {};
+    }
+  }
+  mState->mCourses = std::move(aView.mCourses);
+  mState->mLiveVms = std::max<std::int64_t>(1, aView.mLiveVms);
+  mState->mAskedAt = aView.mAskedAt;
+  mState->mIsTold = true;
+  const auto waiting = std::move(mState->mAwaitingView);
+  mState->mAwaitingView.clear();
+  for (const auto& weak : waiting) {
+    if (const auto exchange = weak.lock()) {
+      exchange->OnView();
+    }
+  }
+  std::vector<std::string> pools;
+  for (const auto& [pool, line] : mState->mLines) {
+    pools.push_back(pool);
+  }
+  for (const std::string& pool : pools) {
+    mState->ServeLine(pool);
+  }
+}
+
+void Relay::Serve(const std::shared_ptr<ClientSession>& aSession)
+{
+  Exchange::Start(mState, aSession);
+}
+
+bool Relay::IsReady() const
+{
+  return mState->KnowsKeys();
+}
+
+RequestBounds Relay::Bounds() const
+{
+  return mState->mSettings ? mState->mSettings->mBounds : RequestBounds{};
+}
+
+std::size_t Relay::OpenRequests() const
+{
+  return mState->mOpen;
+}
+
+std::map<std::string, CourseEvidence> Relay::Evidence() const
+{
+  return mState->mEvidence;
+}
+
+std::string Relay::MetricsText() const
+{
+  return mState->mMetrics.Text();
+}
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/Libraries/LibRelay/SocketOptions.cpp
@@ -0,0 +1,57 @@
+#include "SocketOptions.h"
+
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// A connection is given up when what was written stays unacknowledged, or
+/// when probes of an idle one stay unanswered, for this long. Longer than two
+/// retransmissions, shorter than callers wait.
+constexpr int kUnacknowledgedMilliseconds = 3000;
+constexpr int kIdleSeconds = 1;
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 3;
+
+} // namespace
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(
+  const std::string& aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code failure;
+  const auto address =
+    boost::asio::ip::make_address(aText.substr(0, colon), failure);
+  std::uint16_t port = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  if (failure || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket)
+{
+  // NOTE: A system that lacks one of these still serves, only sees a silent
+  //       peer later; so failures are left alone.
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  aSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  const int handle = aSocket.native_handle();
+  const auto set = [handle](int aOption, int aValue) {
+    (void)setsockopt(handle, IPPROTO_TCP, aOption, &aValue, sizeof(aValue));
+  };
+  set(TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+  set(TCP_KEEPIDLE, kIdleSeconds);
+  set(TCP_KEEPINTVL, kProbeSeconds);
+  set(TCP_KEEPCNT, kProbes);
+}
+
+} // namespace Acaciavale::Relay
--- a/Meta/Acaciavale.cmake
+++ b/Meta/Acaciavale.cmake
@@ -2,16 +2,20 @@
 # new file needs no edit of a build file.
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-find_package(Protobuf REQUIRED)
-find_package(gRPC CONFIG REQUIRED)
+if(NOT ACACIAVALE_NODE_ONLY)
+  find_package(Protobuf REQUIRED)
+  find_package(gRPC CONFIG REQUIRED)
+  find_package(benchmark REQUIRED)
+  find_package(Catch2 QUIET)
+endif()
 find_package(OpenSSL REQUIRED)
 find_package(CURL REQUIRED)
 find_package(Boost 1.74 REQUIRED COMPONENTS log log_setup thread filesystem)
-find_package(benchmark REQUIRED)
-find_package(Catch2 QUIET)
 
 add_compile_options(-Wall -Wextra -Werror -Wno-psabi)
 add_compile_definitions(BOOST_LOG_DYN_LINK)
+# Libraries that nothing is used of cost each start time and memory.
+add_link_options(-Wl,--as-needed)
 
 # acaciavale_library(LibX link...) builds Libraries/LibX with its public headers
 # under include/Acaciavale/LibX.
--- a/include/Acaciavale/LibCore/Log.h
+++ b/include/Acaciavale/LibCore/Log.h
@@ -27,6 +27,13 @@
 /// Sets the least level and the format for the whole process; writes to stderr.
 void ConfigureLog(LogLevel aLeast, LogFormat aFormat);
 
+/// Like ConfigureLog, but writes to stdout from a thread of its own and never
+/// blocks: lines above the budget, and lines that stdout does not take in time,
+/// are dropped and counted, and the count is logged.
+void ConfigureBoundedLog(LogLevel aLeast,
+                         LogFormat aFormat,
+                         int aLinesPerSecond);
+
 /// Writes one line. Control characters in any part are escaped, so that no
 /// caller can forge a line.
 void Log(LogLevel aLevel,
--- /dev/null
+++ b/include/Acaciavale/LibRelay/ModelChoice.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+/// Which of a route's models answers, where the choice is the router's.
+namespace Acaciavale::Relay {
+
+/// A model as the choice sees it; all of one request, smallest first.
+struct ModelView
+{
+  double mCost = 0;         ///< Of the whole answer, in the operator's money.
+  double mQuality = 1;      ///< Expected share of good answers.
+  double mFirstSeconds = 0; ///< Expected, to its first event.
+
+  auto operator<=>(const ModelView&) const = default;
+};
+
+struct ModelQuery
+{
+  std::vector<ModelView> mModels;
+  double mGoalSeconds = 1; ///< Left until the first event is late.
+  double mAnswerValue = 1; ///< Of a good answer in time, in money.
+  double mLateShare = 0.3; ///< What a late answer keeps of its value.
+
+  auto operator<=>(const ModelQuery&) const = default;
+};
+
+struct ModelDecision
+{
+  std::size_t mIndex = 0;
+  double mNetValue = 0;
+  std::string_view mReason;
+
+  auto operator<=>(const ModelDecision&) const = default;
+};
+
+/// The model with the most expected value after its cost. Answers the pattern
+/// "more asked than the large model's engines can give": its expected time
+/// grows until a smaller one is worth more.
+ModelDecision ChooseModel(const ModelQuery& aQuery);
+
+/// Whether to drop an answer of which the caller has nothing yet, and ask a
+/// larger model: the confidence is the model's own opinion of its answer.
+/// The index is the larger model, or the one that has answered.
+ModelDecision ChooseEscalation(const ModelQuery& aQuery,
+                               std::size_t aAnswered,
+                               double aConfidence);
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRelay/CallerRequest.h>
+#include <Acaciavale/LibRelay/ClientSession.h>
+#include <Acaciavale/LibRelay/EndpointBook.h>
+#include <Acaciavale/LibRelay/RelaySettings.h>
+#include <Acaciavale/LibRelay/RetryBudget.h>
+#include <Acaciavale/LibRelay/RolloutCourse.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// Relays callers' requests to endpoints: admits, chooses, sends, relays and
+/// settles each, by the settings and the fleet that it is told.
+namespace Acaciavale::Relay {
+
+/// What the deployment sets for one VM's relay.
+struct RelayOptions
+{
+  std::string mFailureDomain;
+  /// A request with a key is taken only while the settings are known to have
+  /// been the newest this long ago or later.
+  Duration mKeyProof = std::chrono::seconds(5);
+  RetryBudgetTerms mRetryBudget;
+  /// What a send out of this VM's failure domain costs, as time.
+  Duration mCrossDomainCost = std::chrono::milliseconds(5);
+  /// Value of a good answer, in the money of the models' cost, for each
+  /// thousand tokens asked (a generated one counts as ten).
+  double mAnswerValue = 0.25;
+  /// Expected share of good answers by model, smallest first, until there is
+  /// evidence; a route with fewer models takes the last ones.
+  std::vector<double> mModelQuality{ 0.58, 0.67, 1.0 };
+
+  bool operator==(const RelayOptions&) const = default;
+};
+
+/// What this VM knows of the fleet, all read at one time.
+struct FleetView
+{
+  std::shared_ptr<const RelaySettings> mSettings; ///< Null: none yet.
+  std::vector<EndpointRecord> mEndpoints;
+  std::map<std::string, Course> mCourses; ///< Roll-outs by pool.
+  std::int64_t mLiveVms = 1;
+  /// When the reading of it began, by SuspendAwareNow.
+  TimePoint mAskedAt{};
+};
+
+struct RelayState;
+
+class Relay
+{
+public:
+  Relay(boost::asio::io_context& aLoop,
+        WireCodec aCodec,
+        RelayOptions aOptions);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  void SetOptions(RelayOptions aOptions);
+
+  /// Takes over a newer view. Settings of an older version are left out, so
+  /// that they never go back.
+  void Apply(FleetView aView);
+
+  /// Serves the session's open request.
+  void Serve(const std::shared_ptr<ClientSession>& aSession);
+
+  /// Whether requests with keys can be taken now.
+  bool IsReady() const;
+
+  RequestBounds Bounds() const;
+  std::size_t OpenRequests() const;
+
+  /// What this VM has seen of both versions in each pool's roll-out.
+  std::map<std::string, CourseEvidence> Evidence() const;
+
+  /// Counters and latencies in the Prometheus text format.
+  std::string MetricsText() const;
+
+private:
+  std::shared_ptr<RelayState> mState;
+};
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/include/Acaciavale/LibRelay/RolloutCourse.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRollout/RolloutProgress.h>
+#include <Acaciavale/LibRouting/Evidence.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// The course of a roll-out that an operator orders with an end time: endpoints
+/// of the new version stand beside the old ones, and the traffic moves over.
+namespace Acaciavale::Relay {
+
+struct CourseOrder
+{
+  std::string mPool;
+  std::string mTarget; ///< The new version.
+  Duration mDuration{};
+  std::int64_t mRevision = 0; ///< Of the order, so that a new one is told.
+
+  auto operator<=>(const CourseOrder&) const = default;
+};
+
+enum class CourseStage
+{
+  Probe, ///< A small share goes to the new version.
+  Shift, ///< All goes there; what runs on the old one ends.
+  Completed,
+  Reverted,
+};
+
+struct Course
+{
+  CourseOrder mOrder;
+  CourseStage mStage = CourseStage::Probe;
+
+  auto operator<=>(const Course&) const = default;
+};
+
+enum class VersionSide
+{
+  Any,
+  Target,
+  NotTarget,
+};
+
+/// Which side a request goes to. The draw, in [0, 1), is the session's or the
+/// request's own, the same on all VMs, so that a session stays on its side.
+VersionSide SideOf(const std::optional<Course>& aCourse, double aDraw);
+
+/// The side to take where the first one has no endpoint.
+VersionSide FallbackSide(const std::optional<Course>& aCourse);
+
+bool MayTake(VersionSide aSide,
+             const std::optional<Course>& aCourse,
+             const std::string& aVersion);
+
+/// What the fleet has seen of both versions since the order.
+struct CourseEvidence
+{
+  EvidenceCell mOld;
+  EvidenceCell mNew;
+
+  auto operator<=>(const CourseEvidence&) const = default;
+};
+
+struct CourseDecision
+{
+  CourseStage mStage = CourseStage::Probe;
+  std::string mReason;
+
+  auto operator<=>(const CourseDecision&) const = default;
+};
+
+/// The stage that the course should be in, from LibRollout's judge and the time
+/// since the order.
+CourseDecision DecideStage(const Course& aCourse,
+                           const CourseEvidence& aEvidence,
+                           Duration aElapsed);
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/include/Acaciavale/LibRelay/WaitLine.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <Acaciavale/LibCore/Time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Work that waits on this VM for a place at an endpoint of one pool.
+///
+/// It answers bursts: more requests at once than the pool's places. An
+/// endpoint's own queue stays short, so that what is urgent and what is short
+/// overtakes here, and what can't start in time leaves at once.
+namespace Acaciavale::Relay {
+
+using WaitTicket = std::uint64_t;
+
+struct WaitingWork
+{
+  std::int64_t mUrgency = 0; ///< 0 goes first.
+  std::string mAccount;
+  TimePoint mSince{};
+  TimePoint mStartBy{}; ///< Afterwards starting it serves nobody.
+
+  auto operator<=>(const WaitingWork&) const = default;
+};
+
+class WaitLine
+{
+public:
+  WaitTicket Add(const WaitingWork& aWork);
+  void Remove(WaitTicket aTicket);
+
+  /// The one to start next, which stays in line until removed: the most
+  /// urgent; among equals the account with the fewest starts lately, then who
+  /// has the least time left. Work that waited for kAgingTime per rank goes
+  /// up a rank, so that none starves.
+  std::optional<WaitTicket> Next(TimePoint aNow) const;
+
+  /// Those who can no longer start in time.
+  std::vector<WaitTicket> Expired(TimePoint aNow) const;
+
+  /// Notes that work of the account has started.
+  void RecordStart(const std::string& aAccount);
+
+  std::size_t size() const { return mWork.size(); }
+
+private:
+  WaitTicket mLast = 0;
+  std::map<WaitTicket, WaitingWork> mWork;
+  std::map<std::string, double> mStarts; ///< By account, aged by each start.
+};
+
+/// When someone refused now should come back: after the line ahead of it has
+/// started at the pace seen, and spread, so that not all return at once.
+Duration ReturnAfter(std::size_t aAhead,
+                     double aStartsPerSecond,
+                     double aSpread01);
+
+} // namespace Acaciavale::Relay
