Ask the small model first, and price engine time by the wait it causes

Change: a first model by expected value with the largest behind it, the answer's confidence decides (fitted to confidences of three models, noted in docs/measurements); a price of engine time that rises with the wait for first events; sends out of patience at most a tenth of requests; evidence of a version is its own failures and its time to the first event.

--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -14,6 +14,12 @@
 /// of one endpoint, which has fewer of them.
 constexpr double kPaceWeight = 0.05;
 constexpr double kSlownessWeight = 0.2;
+constexpr double kStrainWeight = 0.05;
+/// The quick pace is the first quartile of what is seen: a step up for each
+/// prompt that took longer, three down for each that did not.
+constexpr double kQuartileStep = 0.02;
+/// A request that waits longer than this many goals counts as this.
+constexpr double kMostStrain = 3;
 /// How long a slowness counts: half of it is forgotten in this time, so that
 /// an endpoint that was slow is tried again.
 constexpr double kSlownessHalfLifeSeconds = 8;
@@ -103,6 +109,29 @@
   return known ? found->second.mSecondsPerAnswer : kFirstSecondsPerAnswer;
 }
 
+double EndpointBook::QuickSeconds(const std::string& aPool,
+                                  const SendWork& aWork) const
+{
+  const auto found = mPaces.find({ aPool, aWork.mModel });
+  const double perToken =
+    found == mPaces.end() || found->second.mQuickPerToken == 0
+      ? kFirstSecondsPerToken
+      : found->second.mQuickPerToken;
+  return perToken * static_cast<double>(aWork.mPromptTokens);
+}
+
+double EndpointBook::Strain(const std::string& aPool) const
+{
+  const auto found = mStrain.find(aPool);
+  return found == mStrain.end() ? 0 : found->second;
+}
+
+void EndpointBook::RecordStrain(const std::string& aPool, double aShareOfGoal)
+{
+  double& strain = mStrain[aPool];
+  strain += kStrainWeight * (std::min(aShareOfGoal, kMostStrain) - strain);
+}
+
 Place EndpointBook::Choose(const PlaceQuery& aQuery,
                            Random& aRandom,
                            TimePoint aNow)
@@ -178,10 +207,14 @@
   const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
   Place place;
   place.mIsFull = usable > 0 && full == usable;
-  place.mExpectedSeconds = decision.mScore;
   place.mReason = decision.mReason;
   if (decision.mIndex) {
     place.mEndpoint = all[*decision.mIndex];
+    for (const EndpointView& view : views) {
+      if (view.mIndex == *decision.mIndex) {
+        place.mExpectedSeconds = view.mSecondsPerRequest;
+      }
+    }
   }
   return place;
 }
@@ -223,6 +256,12 @@
   if (aWork.mPromptTokens > 0) {
     const double perToken = aSeconds / static_cast<double>(aWork.mPromptTokens);
     pace.mSecondsPerToken += weight * (perToken - pace.mSecondsPerToken);
+    if (isFirst) {
+      pace.mQuickPerToken = perToken;
+    }
+    pace.mQuickPerToken *= perToken > pace.mQuickPerToken
+                             ? 1 + kQuartileStep
+                             : 1 - 3 * kQuartileStep;
   }
 }
 
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -31,6 +31,9 @@
 /// Tokens that count as much as one that is generated, by what reading and
 /// generating cost the operator.
 constexpr double kReadShare = 0.25;
+/// A generated token's part of an engine's time against one that is read, in
+/// the batches that the engines usually run.
+constexpr double kGeneratedWork = 20;
 /// A generated token's part of an answer's value against a token read.
 constexpr double kGeneratedWorth = 10;
 
@@ -145,8 +148,9 @@
   mSideDraw =
     DrawOf(mRequest.mSession.empty() ? mRequest.mId : mRequest.mSession);
   ChoosePool();
-  mState->mBudgets[mPool].RecordRequest(mState->mOptions.mRetryBudget,
-                                        MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  mState->mBudgets[mPool].RecordRequest(mState->mOptions.mRetryBudget, now);
+  mState->mImpatience[mPool].RecordRequest(mState->mOptions.mRetryBudget, now);
   ChooseFirstModel();
   Dispatch();
 }
@@ -208,9 +212,18 @@
     const std::size_t fromEnd = count - 1 - index;
     view.mQuality =
       fromEnd < quality.size() ? quality[quality.size() - 1 - fromEnd] : 0;
-    view.mFirstSeconds = mState->mBook.UsualSeconds(mPool, WorkFor(index));
+    const SendWork work = WorkFor(index);
+    view.mFirstSeconds = mState->mBook.UsualSeconds(mPool, work);
+    view.mEngineSeconds =
+      mState->mBook.QuickSeconds(mPool, work) *
+      (1 + kGeneratedWork * static_cast<double>(work.mOutputTokens) /
+             std::max(1.0, static_cast<double>(work.mPromptTokens)));
     query.mModels.push_back(view);
   }
+  query.mSends =
+    mRoute->mMaxAttempts - static_cast<std::int64_t>(mSends.size());
+  query.mEnginePrice = EnginePrice(mState->mBook.Strain(mPool),
+                                   mState->mOptions.mEngineSecondValue);
   query.mGoalSeconds = InSeconds(mRoute->mGoal - (MonotonicNow() - mArrived));
   query.mAnswerValue =
     mState->mOptions.mAnswerValue *
@@ -486,6 +499,7 @@
           InSeconds(SuspendAwareNow() - mState->mAskedAt) * 1000)) },
       { "first-ms",
         std::to_string(static_cast<std::int64_t>(mFirstMilliseconds)) },
+      { "strain", std::to_string(mState->mBook.Strain(mPool)).substr(0, 4) },
       { "whole-ms", std::to_string(static_cast<std::int64_t>(milliseconds)) },
       { "sends", mTrace } });
 }
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -56,6 +56,8 @@
     MayRun,  ///< It may have run, and there is no answer to pass on.
     Failure, ///< The endpoint's own answer, which says that it failed.
     Answer,
+    Silent,  ///< Given up on for want of an answer or event.
+    Dropped, ///< Not needed any more; it says nothing of the endpoint.
   };
 
   // Exchange.cpp: from the arrival to a send, and the final answer.
@@ -89,13 +91,12 @@
   void ArmPatience(Send& aSend, Duration aTime);
   Duration FirstPatience(double aExpectedSeconds) const;
   SendEnd Judge(const Send& aSend, CallEnd aEnd) const;
-  void CloseSend(Send& aSend, bool aFailed, bool aCounts);
+  void CloseSend(Send& aSend, SendEnd aEnd);
   void CancelOthers(const Send* aWinner);
   void PassOn(const Send& aSend);
   void TryAgain(SendEnd aEnd);
   bool MaySendAgain() const;
   void Escalate(Send& aSend, std::size_t aModel);
-  bool IsLate(const Send& aSend) const;
 
   std::shared_ptr<RelayState> mState;
   std::shared_ptr<ClientSession> mSession;
--- a/Libraries/LibRelay/ExchangeAnswers.cpp
+++ b/Libraries/LibRelay/ExchangeAnswers.cpp
@@ -20,14 +20,18 @@
 constexpr std::size_t kMostUnwritten = 256U << 10;
 /// Patience with an endpoint that has not answered, as a share of the goal and
 /// as a multiple of what was expected; the larger holds.
-constexpr double kFirstShare = 0.5;
+constexpr double kFirstShare = 0.6;
 constexpr double kFirstMultiple = 4;
+/// Pause until a send that is out of patience but may not be given up is
+/// looked at again.
+constexpr Duration kPatienceAgain = std::chrono::milliseconds(200);
 /// The same for the gap between two events of a stream.
 constexpr double kGapShare = 0.7;
+/// Sends for want of patience, as a share of the requests: when many endpoints
+/// seem silent the pool is full, and more sends make it fuller.
+constexpr double kImpatientShare = 0.1;
 /// Connections that one request tries in vain, beside its sends.
 constexpr std::int64_t kMostNotConnected = 4;
-/// An answer counts as slow, against a version, beyond the goal times this.
-constexpr double kSlowGoals = 1;
 
 bool IsSuccess(const AnswerHead& aHead)
 {
@@ -83,7 +87,7 @@
     // NOTE: A stream's run must have ended before another one goes on.
     mMayHaveRun = true;
     aSend.mCall->Cancel();
-    CloseSend(aSend, true, true);
+    CloseSend(aSend, SendEnd::Silent);
   } else {
     mState->mMetrics.Count("acaciavale_relay_hedges_total",
                            { { "pool", mPool } });
@@ -141,7 +145,7 @@
   mMayHaveRun = true;
   OnFirst(aSend);
   aSend.mCall->Cancel();
-  CloseSend(aSend, false, true);
+  CloseSend(aSend, SendEnd::Answer);
   SendTo(place);
 }
 
@@ -168,6 +172,8 @@
   aSend.mFirstSeconds = std::max(1e-6, InSeconds(now - aSend.mStarted));
   mState->mBook.RecordFirstEvent(
     *aSend.mEndpoint, aSend.mWork, aSend.mFirstSeconds, now);
+  mState->mBook.RecordStrain(
+    mPool, aSend.mFirstSeconds / std::max(0.001, InSeconds(mRoute->mGoal)));
 }
 
 void Exchange::OnEvents(Send& aSend, std::vector<EventPiece> aEvents)
@@ -234,12 +240,7 @@
   return aSend.mHead.result_int() >= 500 ? SendEnd::Failure : SendEnd::Answer;
 }
 
-bool Exchange::IsLate(const Send& aSend) const
-{
-  return aSend.mFirstSeconds > kSlowGoals * InSeconds(mRoute->mGoal);
-}
-
-void Exchange::CloseSend(Send& aSend, bool aFailed, bool aCounts)
+void Exchange::CloseSend(Send& aSend, SendEnd aEnd)
 {
   if (aSend.mIsOver) {
     return;
@@ -248,21 +249,28 @@
   aSend.mPatience.reset();
   const TimePoint now = MonotonicNow();
   SendOutcome outcome;
-  outcome.mFailed = aFailed;
-  outcome.mCounts = aCounts;
+  outcome.mFailed = aEnd != SendEnd::Answer && aEnd != SendEnd::Dropped;
+  outcome.mCounts = aEnd != SendEnd::Dropped;
   outcome.mFirstSeconds = aSend.mFirstSeconds;
   outcome.mWholeSeconds = InSeconds(now - aSend.mStarted);
   mState->mBook.RecordEnd(
     *aSend.mEndpoint, aSend.mWork, aSend.mFirstSeconds > 0, outcome, now);
   const std::optional<Course> course = mState->CourseOf(mPool);
-  if (course && aCounts) {
+  const bool tells = aEnd == SendEnd::Answer || aEnd == SendEnd::Failure ||
+                     aEnd == SendEnd::Silent;
+  if (course && tells) {
     CourseEvidence& evidence = mState->mEvidence[mPool];
     const bool isNew =
       aSend.mEndpoint->mRecord.mVersion == course->mOrder.mTarget;
     EvidenceCell& cell = isNew ? evidence.mNew : evidence.mOld;
     cell.mAnswers += 1;
-    cell.mErrors += aFailed || IsLate(aSend) ? 1 : 0;
-    cell.mFirstTokenSeconds += aFailed ? 0 : aSend.mFirstSeconds;
+    // NOTE: Only what the endpoint itself says is an error of its version;
+    //       connections break, and a silent endpoint is one that is slow.
+    cell.mErrors += aEnd == SendEnd::Failure ? 1 : 0;
+    if (aEnd != SendEnd::Failure) {
+      cell.mFirstTokenSeconds +=
+        aSend.mFirstSeconds > 0 ? aSend.mFirstSeconds : outcome.mWholeSeconds;
+    }
   }
   // NOTE: Not from here: the line may start sends, and this may be within one.
   boost::asio::post(mState->mLoop,
@@ -274,7 +282,7 @@
   for (Send& send : mSends) {
     if (&send != aWinner && !send.mIsOver) {
       send.mCall->Cancel();
-      CloseSend(send, false, false);
+      CloseSend(send, SendEnd::Dropped);
     }
   }
 }
@@ -297,8 +305,13 @@
   }
   mTrace += " [" + aSend.mEndpoint->mRecord.mId + ' ' +
             std::string(Describe(aEnd)) + ' ' +
-            std::to_string(aSend.mHead.result_int()) + ']';
-  CloseSend(aSend, end != SendEnd::Answer, true);
+            std::to_string(aSend.mHead.result_int());
+  if (aSend.mFacts.mConfidence) {
+    mTrace += " model " + std::to_string(aSend.mModel) + " sure " +
+              std::to_string(*aSend.mFacts.mConfidence).substr(0, 4);
+  }
+  mTrace += ']';
+  CloseSend(aSend, end);
   if (aEnd == CallEnd::NotConnected) {
     mNotConnected += 1;
   }
--- a/Libraries/LibRelay/ModelChoice.cpp
+++ b/Libraries/LibRelay/ModelChoice.cpp
@@ -1,6 +1,7 @@
 #include <Acaciavale/LibRelay/ModelChoice.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Acaciavale::Relay {
 
@@ -11,27 +12,70 @@
 /// to the first event spread about their mean by as much as the mean.
 constexpr double kSafeShare = 0.5;
 constexpr double kLateShare = 1.5;
+/// Strain up to which an engine's second is free, and at which it has its full
+/// price. First events wait for a tenth of their goals where little else runs;
+/// at half of them, many are late.
+constexpr double kFreeStrain = 0.15;
+constexpr double kFullStrain = 0.5;
+/// Confidence at which an answer is as often good as not, and how far from it
+/// one has to go until it is sure: fitted to the confidences of three models
+/// whose shares of good answers were known
+/// (docs/measurements/platform-days.md).
+constexpr double kEvenConfidence = 0.5;
+constexpr double kConfidenceWidth = 0.09;
 
-double ValueOf(const ModelView& aModel,
-               const ModelQuery& aQuery,
-               double aQuality)
+/// What an answer is worth that is there after the seconds given.
+double InTime(double aSeconds, const ModelQuery& aQuery)
 {
   const double share =
-    aQuery.mGoalSeconds > 0 ? aModel.mFirstSeconds / aQuery.mGoalSeconds : 2;
+    aQuery.mGoalSeconds > 0 ? aSeconds / aQuery.mGoalSeconds : 2;
   const double late =
     std::clamp((share - kSafeShare) / (kLateShare - kSafeShare), 0.0, 1.0);
-  const double kept = 1 - late * (1 - aQuery.mLateShare);
-  return aQuality * kept * aQuery.mAnswerValue - aModel.mCost;
+  return aQuery.mAnswerValue * (1 - late * (1 - aQuery.mLateShare));
+}
+
+double PriceOf(const ModelView& aModel, const ModelQuery& aQuery)
+{
+  return aModel.mCost + aModel.mEngineSeconds * aQuery.mEnginePrice;
+}
+
+/// Net value of asking the model first, and the largest one where the answer
+/// turns out to be bad.
+double FirstValue(const ModelQuery& aQuery, std::size_t aIndex)
+{
+  const ModelView& model = aQuery.mModels[aIndex];
+  const ModelView& largest = aQuery.mModels.back();
+  const double good = model.mQuality * InTime(model.mFirstSeconds, aQuery);
+  const double next =
+    aIndex + 1 < aQuery.mModels.size() && aQuery.mSends > 1
+      ? std::max(
+          0.0,
+          largest.mQuality *
+              InTime(model.mFirstSeconds + largest.mFirstSeconds, aQuery) -
+            PriceOf(largest, aQuery))
+      : 0;
+  return good + (1 - model.mQuality) * next - PriceOf(model, aQuery);
 }
 
 } // namespace
 
+double EnginePrice(double aStrain, double aValueOfSecond)
+{
+  return aValueOfSecond *
+         std::clamp(
+           (aStrain - kFreeStrain) / (kFullStrain - kFreeStrain), 0.0, 1.0);
+}
+
+double ChanceOfGood(double aConfidence)
+{
+  return 1 / (1 + std::exp((kEvenConfidence - aConfidence) / kConfidenceWidth));
+}
+
 ModelDecision ChooseModel(const ModelQuery& aQuery)
 {
   ModelDecision best{ 0, 0, "There is one model." };
   for (std::size_t index = 0; index < aQuery.mModels.size(); ++index) {
-    const ModelView& model = aQuery.mModels[index];
-    const double value = ValueOf(model, aQuery, model.mQuality);
+    const double value = FirstValue(aQuery, index);
     if (index == 0 || value > best.mNetValue) {
       best = { index, value, "Most expected value after its cost." };
     }
@@ -44,14 +88,21 @@
                                double aConfidence)
 {
   // NOTE: The answer that is there has been paid for and is in time.
+  const double chance = ChanceOfGood(aConfidence);
   ModelDecision best{ aAnswered,
-                      aConfidence * aQuery.mAnswerValue,
+                      chance * InTime(0, aQuery),
                       "The answer is sure enough." };
   for (std::size_t index = aAnswered + 1; index < aQuery.mModels.size();
        ++index) {
     const ModelView& model = aQuery.mModels[index];
+    // NOTE: What is too hard for one model is likely so for one little larger:
+    //       only the share that it does better counts.
+    const double smaller = aQuery.mModels[aAnswered].mQuality;
+    const double gained =
+      smaller < 1 ? (model.mQuality - smaller) / (1 - smaller) : 0;
+    const double quality = chance + (1 - chance) * std::max(0.0, gained);
     const double value =
-      ValueOf(model, aQuery, std::max(model.mQuality, aConfidence));
+      quality * InTime(model.mFirstSeconds, aQuery) - PriceOf(model, aQuery);
     if (value > best.mNetValue) {
       best = { index, value, "A larger model is worth its cost." };
     }
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -44,6 +44,7 @@
   std::map<std::string, Course> mCourses;
   std::map<std::string, CourseEvidence> mEvidence; ///< By pool.
   std::map<std::string, RetryBudget> mBudgets;     ///< By pool.
+  std::map<std::string, RetryBudget> mImpatience;  ///< By pool.
   std::map<std::string, PoolLine> mLines;
   std::int64_t mLiveVms = 1;
   TimePoint mAskedAt{};
--- a/Libraries/LibRelay/SocketOptions.cpp
+++ b/Libraries/LibRelay/SocketOptions.cpp
@@ -10,11 +10,11 @@
 
 /// A connection is given up when what was written stays unacknowledged, or
 /// when probes of an idle one stay unanswered, for this long. Longer than two
-/// retransmissions, shorter than callers wait.
-constexpr int kUnacknowledgedMilliseconds = 3000;
+/// retransmissions, shorter than callers' goals.
+constexpr int kUnacknowledgedMilliseconds = 1500;
 constexpr int kIdleSeconds = 1;
 constexpr int kProbeSeconds = 1;
-constexpr int kProbes = 3;
+constexpr int kProbes = 2;
 
 } // namespace
 
--- a/include/Acaciavale/LibRelay/EndpointBook.h
+++ b/include/Acaciavale/LibRelay/EndpointBook.h
@@ -51,6 +51,7 @@
 {
   double mSecondsPerAnswer = 0; ///< To the answer or first event.
   double mSecondsPerToken = 0;  ///< Of a prompt, until the first event.
+  double mQuickPerToken = 0;    ///< The same where little else runs.
 
   auto operator<=>(const PoolPace&) const = default;
 };
@@ -135,11 +136,20 @@
   /// pool's pace; 0 where nothing is known.
   double UsualSeconds(const std::string& aPool, const SendWork& aWork) const;
 
+  /// Seconds that the work's prompt takes an engine where little else runs.
+  double QuickSeconds(const std::string& aPool, const SendWork& aWork) const;
+
+  /// Smoothed share of their goals that requests wait for their first event in
+  /// the pool: what tells whether its engines have time to spare.
+  double Strain(const std::string& aPool) const;
+  void RecordStrain(const std::string& aPool, double aShareOfGoal);
+
 private:
   void Eject(const std::string& aPool, TimePoint aNow);
 
   std::map<std::string, std::shared_ptr<Endpoint>> mEndpoints;
   std::map<std::pair<std::string, std::string>, PoolPace> mPaces;
+  std::map<std::string, double> mStrain; ///< By pool.
 };
 
 } // namespace Acaciavale::Relay
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -32,6 +32,8 @@
   /// Value of a good answer, in the money of the models' cost, for each
   /// thousand tokens asked (a generated one counts as ten).
   double mAnswerValue = 0.25;
+  /// What the usual requests are worth for each second of an engine.
+  double mEngineSecondValue = 4;
   /// Expected share of good answers by model, smallest first, until there is
   /// evidence; a route with fewer models takes the last ones.
   std::vector<double> mModelQuality{ 0.58, 0.67, 1.0 };
