Test the relay's decisions, and bound impatience and the cutting of streams

What can cut an answer off on our side was read through: a stream given up for a silence whose last send then fails; an idle connection closed with a request already in its socket. The tests showed two more: the line let an account with ten times the requests crowd out others once it had waited, and an endpoint that was slow once was never tried again. Tests of every decision on virtual time.

--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -553,7 +553,12 @@
 {
   const auto sessions = mPrivate->mSessions;
   for (const auto& session : sessions) {
-    if (session->mPrivate->mPhase == ClientSession::Private::Phase::Idle) {
+    // NOTE: A request that has arrived is served, even if it was not read yet.
+    error_code failure;
+    const bool isIdle =
+      session->mPrivate->mPhase == ClientSession::Private::Phase::Idle &&
+      session->mPrivate->mSocket.available(failure) == 0;
+    if (isIdle) {
       session->mPrivate->Close();
     }
   }
--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -23,6 +23,9 @@
 /// How long a slowness counts: half of it is forgotten in this time, so that
 /// an endpoint that was slow is tried again.
 constexpr double kSlownessHalfLifeSeconds = 8;
+/// How much quicker an endpoint is taken to be of which nothing was heard for
+/// long: enough to be tried before its equals.
+constexpr double kOptimism = 0.1;
 constexpr double kLeastSlowness = 0.25;
 constexpr double kMostSlowness = 16;
 /// Engines read a prompt faster than this only if told otherwise; until the
@@ -45,8 +48,8 @@
 double SlownessAt(const Endpoint& aEndpoint, TimePoint aNow)
 {
   const double age = std::max(0.0, SecondsBetween(aEndpoint.mSlownessAt, aNow));
-  return std::pow(aEndpoint.mSlowness,
-                  std::exp2(-age / kSlownessHalfLifeSeconds));
+  const double kept = std::exp2(-age / kSlownessHalfLifeSeconds);
+  return std::pow(aEndpoint.mSlowness, kept) * (1 - kOptimism * (1 - kept));
 }
 
 /// The hash of a name: the same on all VMs.
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -50,10 +50,7 @@
                      const std::shared_ptr<ClientSession>& aSession)
 {
   const auto exchange = std::make_shared<Exchange>(aState, aSession);
-  aSession->OnGone([exchange] {
-    exchange->CancelOthers(nullptr);
-    exchange->Finish("the caller left");
-  });
+  aSession->OnGone([exchange] { exchange->Finish("the caller left"); });
   exchange->Begin();
 }
 
@@ -438,7 +435,6 @@
   for (const Send& send : mSends) {
     mMayHaveRun = mMayHaveRun || (!send.mIsOver && send.mCall->WasWritten());
   }
-  CancelOthers(nullptr);
   if (mIsStreaming) {
     mSession->Break();
     Finish("broken off at its deadline");
@@ -480,6 +476,11 @@
     line.mWaiting.erase(*mTicket);
     mTicket.reset();
   }
+  for (const Send& send : mSends) {
+    if (!send.mIsOver) {
+      mTrace += " [" + send.mEndpoint->mRecord.mId + " open]";
+    }
+  }
   CancelOthers(nullptr);
   const double milliseconds = InSeconds(MonotonicNow() - mArrived) * 1000;
   const std::string route = mRoute == nullptr ? "" : mRoute->mName;
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -19,6 +19,7 @@
   SendWork mWork;
   std::size_t mModel = 0; ///< Index among the route's models.
   TimePoint mStarted{};
+  TimePoint mLastEventAt{};
   double mFirstSeconds = 0; ///< To the answer or first event; 0: not yet.
   bool mIsOver = false;
   bool mIsStream = false; ///< Its events go to the caller.
@@ -96,6 +97,7 @@
   void PassOn(const Send& aSend);
   void TryAgain(SendEnd aEnd);
   bool MaySendAgain() const;
+  std::int64_t SendsLeft() const;
   void Escalate(Send& aSend, std::size_t aModel);
 
   std::shared_ptr<RelayState> mState;
--- a/Libraries/LibRelay/ExchangeAnswers.cpp
+++ b/Libraries/LibRelay/ExchangeAnswers.cpp
@@ -25,11 +25,16 @@
 /// Pause until a send that is out of patience but may not be given up is
 /// looked at again.
 constexpr Duration kPatienceAgain = std::chrono::milliseconds(200);
-/// The same for the gap between two events of a stream.
+/// The same for the gap between two events of a stream, as shares of its goal:
+/// where a further send may fail too, and where it would be the last, whose
+/// failure loses what the caller has.
 constexpr double kGapShare = 0.7;
+constexpr double kLastGapShare = 2;
 /// Sends for want of patience, as a share of the requests: when many endpoints
 /// seem silent the pool is full, and more sends make it fuller.
 constexpr double kImpatientShare = 0.1;
+/// The same a window, so that a VM with few requests may have some.
+constexpr double kImpatientSlack = 3;
 /// Connections that one request tries in vain, beside its sends.
 constexpr std::int64_t kMostNotConnected = 4;
 
@@ -76,10 +81,20 @@
   if (!MaySendAgain()) {
     return;
   }
-  const Place place = FindPlace();
-  if (!place.mEndpoint ||
-      !mState->mBudgets[mPool].TrySpend(
-        mState->mOptions.mRetryBudget, mState->mLiveVms, MonotonicNow())) {
+  const TimePoint now = MonotonicNow();
+  const bool isLast = aSend.mIsStream && mIsStreaming && SendsLeft() < 2;
+  const bool isEarly = isLast && InSeconds(now - aSend.mLastEventAt) <
+                                   kLastGapShare * InSeconds(mRoute->mGapGoal);
+  const RetryBudgetTerms impatience{ kImpatientShare,
+                                     kImpatientSlack,
+                                     mState->mOptions.mRetryBudget.mWindow };
+  const Place place = isEarly ? Place{} : FindPlace();
+  const bool may = place.mEndpoint &&
+                   mState->mImpatience[mPool].TrySpend(impatience, 1, now) &&
+                   mState->mBudgets[mPool].TrySpend(
+                     mState->mOptions.mRetryBudget, mState->mLiveVms, now);
+  if (!may) {
+    ArmPatience(aSend, kPatienceAgain);
     return;
   }
   mTrace += " [" + aSend.mEndpoint->mRecord.mId + " silent]";
@@ -95,14 +110,18 @@
   SendTo(place);
 }
 
+std::int64_t Exchange::SendsLeft() const
+{
+  return mRoute->mMaxAttempts -
+         std::count_if(mSends.begin(), mSends.end(), [](const Send& aSend) {
+           return aSend.mCall && aSend.mCall->WasWritten();
+         });
+}
+
 bool Exchange::MaySendAgain() const
 {
-  const auto sends =
-    std::count_if(mSends.begin(), mSends.end(), [](const Send& aSend) {
-      return aSend.mCall && aSend.mCall->WasWritten();
-    });
-  return !mIsOver && sends < mRoute->mMaxAttempts &&
-         mNotConnected <= kMostNotConnected && SecondsLeft() > 0;
+  return !mIsOver && SendsLeft() > 0 && mNotConnected <= kMostNotConnected &&
+         SecondsLeft() > 0;
 }
 
 void Exchange::OnHead(Send& aSend, const AnswerHead& aHead)
@@ -193,6 +212,7 @@
     return;
   }
   OnFirst(aSend);
+  aSend.mLastEventAt = MonotonicNow();
   if (!mIsStreaming) {
     mIsStreaming = true;
     mFirstMilliseconds = InSeconds(MonotonicNow() - mArrived) * 1000;
--- a/Libraries/LibRelay/WaitLine.cpp
+++ b/Libraries/LibRelay/WaitLine.cpp
@@ -1,15 +1,19 @@
 #include <Acaciavale/LibRelay/WaitLine.h>
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace Acaciavale::Relay {
 
 namespace {
 
-/// Waiting that makes up for one rank of urgency: the shortest goal of the
+/// Waiting that makes up for one rank of urgency: a quarter of the goals of the
 /// deployments' long requests, so that less urgent ones still meet theirs.
-constexpr Duration kAgingTime = std::chrono::milliseconds(500);
+constexpr double kSecondsPerRank = 0.5;
+/// Waiting that makes up for one more start of the account lately: the starts
+/// kept add up to twenty, so one that takes all of them waits for some seconds
+/// longer than one that takes none.
+constexpr double kSecondsPerStart = 0.25;
 /// What one start leaves of the starts before it.
 constexpr double kStartsKept = 0.95;
 /// Bounds of the advice to come back: sooner only repeats the refusal, later
@@ -33,18 +37,17 @@
 std::optional<WaitTicket> WaitLine::Next(TimePoint aNow) const
 {
   std::optional<WaitTicket> best;
-  std::tuple<std::int64_t, double, TimePoint> bestRank;
+  std::pair<double, TimePoint> bestRank;
   for (const auto& [ticket, work] : mWork) {
     if (work.mStartBy < aNow) {
       continue;
     }
-    const std::int64_t aged = (aNow - work.mSince) / kAgingTime;
     const auto started = mStarts.find(work.mAccount);
-    const std::tuple<std::int64_t, double, TimePoint> rank{
-      work.mUrgency - aged,
-      started == mStarts.end() ? 0 : started->second,
-      work.mStartBy
-    };
+    const double starts = started == mStarts.end() ? 0 : started->second;
+    const double handicap =
+      kSecondsPerRank * static_cast<double>(work.mUrgency) +
+      kSecondsPerStart * starts - InSeconds(aNow - work.mSince);
+    const std::pair<double, TimePoint> rank{ handicap, work.mStartBy };
     if (!best || rank < bestRank) {
       best = ticket;
       bestRank = rank;
--- /dev/null
+++ b/Tests/LibRelay/TestEndpointBook.cpp
@@ -0,0 +1,152 @@
+#include <Acaciavale/LibRelay/EndpointBook.h>
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace Acaciavale;
+using namespace Acaciavale::Relay;
+
+TEST_GROUP(EndpointBook)
+{
+  EndpointBook mBook;
+  Random mRandom{ 3 };
+  PlaceQuery mQuery;
+
+  static TimePoint At(double aSeconds)
+  {
+    return TimePoint(FromSeconds(1000 + aSeconds));
+  }
+
+  static EndpointRecord Record(const std::string& aId)
+  {
+    EndpointRecord record;
+    record.mId = aId;
+    record.mPool = "pool";
+    record.mAddress = "127.0.0.1:1";
+    record.mFailureDomain = "a";
+    record.mVersion = "v1";
+    record.mSlots = 8;
+    return record;
+  }
+
+  void setup() override
+  {
+    mQuery.mPool = "pool";
+  }
+
+  std::string ChooseAt(double aSeconds)
+  {
+    const Place place = mBook.Choose(mQuery, mRandom, At(aSeconds));
+    return place.mEndpoint ? place.mEndpoint->mRecord.mId : "";
+  }
+};
+
+TEST(EndpointBook, LeavingAndMissingEndpointsTakeNothing)
+{
+  EndpointRecord leaving = Record("leaving");
+  leaving.mLeaving = true;
+  mBook.Replace({ leaving, Record("stays") });
+  for (int draw = 0; draw < 20; ++draw) {
+    STRCMP_EQUAL("stays", ChooseAt(0).c_str());
+  }
+  mBook.Replace({ leaving });
+  STRCMP_EQUAL("", ChooseAt(0).c_str());
+}
+
+TEST(EndpointBook, ARestartUnderTheSameIdForgetsWhatWasSeen)
+{
+  EndpointRecord record = Record("one");
+  record.mBorn = 100;
+  mBook.Replace({ record });
+  const Place place = mBook.Choose(mQuery, mRandom, At(0));
+  mBook.RecordSend(*place.mEndpoint, {}, At(0));
+  record.mBorn = 200;
+  mBook.Replace({ record });
+  CHECK(place.mEndpoint->mGone);
+  LONGS_EQUAL(0, mBook.EndpointsOf("pool")[0]->mInFlight);
+}
+
+TEST(EndpointBook, AnEndpointThatFailsIsLeftAloneUnlessItIsTheLast)
+{
+  mBook.Replace({ Record("bad"), Record("good") });
+  for (const auto& endpoint : mBook.EndpointsOf("pool")) {
+    if (endpoint->mRecord.mId == "bad") {
+      for (int failure = 0; failure < 4; ++failure) {
+        mBook.RecordSend(*endpoint, {}, At(0));
+        mBook.RecordEnd(*endpoint, {}, false, { true, true, 0, 0.1 }, At(0.1));
+      }
+    }
+  }
+  for (int draw = 0; draw < 20; ++draw) {
+    STRCMP_EQUAL("good", ChooseAt(0.2).c_str());
+  }
+  mBook.Replace({ Record("bad") });
+  STRCMP_EQUAL("bad", ChooseAt(0.2).c_str());
+}
+
+TEST(EndpointBook, FullEndpointsAreToldFromNone)
+{
+  mBook.Replace({ Record("one") });
+  mQuery.mMostInFlight = 1;
+  const Place place = mBook.Choose(mQuery, mRandom, At(0));
+  mBook.RecordSend(*place.mEndpoint, {}, At(0));
+  CHECK(mBook.Choose(mQuery, mRandom, At(0)).mIsFull);
+  mBook.Replace({});
+  CHECK_FALSE(mBook.Choose(mQuery, mRandom, At(0)).mIsFull);
+}
+
+/// The load pattern: prompts that share long parts. All VMs send the same part
+/// to the same engine, so that it is read once.
+TEST(EndpointBook, SharedPartsHaveAHomeThatAllVmsAgreeOn)
+{
+  std::vector<EndpointRecord> records;
+  for (int engine = 0; engine < 12; ++engine) {
+    records.push_back(Record("engine-" + std::to_string(engine)));
+  }
+  EndpointBook other;
+  mBook.Replace(records);
+  other.Replace(records);
+  Random otherRandom(99);
+  mQuery.mWork.mPromptTokens = 12000;
+  mQuery.mWork.mSharedTokens = 5400;
+  std::map<std::string, int> homes;
+  for (std::uint64_t part = 1; part <= 98; ++part) {
+    mQuery.mWork.mSharedHash = part * 0x9e3779b97f4a7c15ULL;
+    const Place here = mBook.Choose(mQuery, mRandom, At(0));
+    const Place there = other.Choose(mQuery, otherRandom, At(0));
+    CHECK(here.mEndpoint->mRecord.mId == there.mEndpoint->mRecord.mId);
+    homes[here.mEndpoint->mRecord.mId] += 1;
+  }
+  UNSIGNED_LONGS_EQUAL(12, homes.size());
+}
+
+/// The load pattern: half of the pool is slow. Work moves to the quick half,
+/// and the slow one is tried again after a while.
+TEST(EndpointBook, SlowEndpointsGetLessAndAreTriedAgain)
+{
+  std::vector<EndpointRecord> records;
+  for (int engine = 0; engine < 4; ++engine) {
+    records.push_back(
+      Record((engine < 2 ? "slow-" : "quick-") + std::to_string(engine)));
+  }
+  mBook.Replace(records);
+  mQuery.mWork.mPromptTokens = 1000;
+  int slow = 0;
+  constexpr int kRequests = 1200;
+  for (int request = 0; request < kRequests; ++request) {
+    const double now = request * 0.05;
+    const Place place = mBook.Choose(mQuery, mRandom, At(now));
+    const bool isSlow = place.mEndpoint->mRecord.mId.starts_with("slow");
+    slow += isSlow ? 1 : 0;
+    const double seconds = isSlow ? 0.4 : 0.05;
+    mBook.RecordSend(*place.mEndpoint, mQuery.mWork, At(now));
+    mBook.RecordFirstEvent(*place.mEndpoint, mQuery.mWork, seconds, At(now));
+    mBook.RecordEnd(*place.mEndpoint,
+                    mQuery.mWork,
+                    true,
+                    { false, true, seconds, seconds },
+                    At(now));
+  }
+  CHECK(slow < kRequests / 4);
+  CHECK(slow > 2);
+}
--- /dev/null
+++ b/Tests/LibRelay/TestWaitLine.cpp
@@ -0,0 +1,120 @@
+#include <Acaciavale/LibRelay/WaitLine.h>
+
+#include <Acaciavale/LibCore/Random.h>
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <map>
+#include <vector>
+
+using namespace Acaciavale;
+using namespace Acaciavale::Relay;
+
+TEST_GROUP(WaitLine)
+{
+  WaitLine mLine;
+
+  static TimePoint At(double aSeconds)
+  {
+    return TimePoint(FromSeconds(1000 + aSeconds));
+  }
+
+  WaitTicket Add(std::int64_t aUrgency,
+                 const std::string& aAccount,
+                 double aSince,
+                 double aStartBy)
+  {
+    return mLine.Add({ aUrgency, aAccount, At(aSince), At(aStartBy) });
+  }
+};
+
+TEST(WaitLine, TheMostUrgentStartsFirstThenWhoHasLeastTime)
+{
+  Add(1, "a", 0, 0.3);
+  const WaitTicket late = Add(0, "a", 0, 0.4);
+  const WaitTicket soon = Add(0, "a", 0, 0.2);
+  CHECK(mLine.Next(At(0.1)) == soon);
+  mLine.Remove(soon);
+  CHECK(mLine.Next(At(0.1)) == late);
+}
+
+TEST(WaitLine, AnAccountThatStartsOftenLetsOthersGoBefore)
+{
+  const WaitTicket large = Add(0, "large", 0, 0.2);
+  const WaitTicket small = Add(0, "small", 0, 0.3);
+  CHECK(mLine.Next(At(0.1)) == large);
+  mLine.RecordStart("large");
+  CHECK(mLine.Next(At(0.1)) == small);
+}
+
+TEST(WaitLine, WhatCanNoLongerStartInTimeIsNotStarted)
+{
+  const WaitTicket ticket = Add(0, "a", 0, 0.2);
+  CHECK(mLine.Next(At(0.3)) == std::nullopt);
+  CHECK(mLine.Expired(At(0.3)) == std::vector<WaitTicket>{ ticket });
+  CHECK(mLine.Expired(At(0.1)).empty());
+}
+
+/// The load pattern: three times what the places serve, and one account with
+/// ten times the requests of the other. A first-come line serves accounts by
+/// their number of requests, so it turns the small one away as often.
+TEST(WaitLine, AnAccountWithTenTimesTheRequestsDoesNotCrowdOutOthers)
+{
+  std::map<WaitTicket, std::string> asked;
+  int small = 0;
+  int smallStarted = 0;
+  Random random(7);
+  double nextStart = 0;
+  for (double now = 0; now < 20; now += 0.01) {
+    const std::string account = random.Below(11) > 0 ? "large" : "small";
+    small += account == "small" ? 1 : 0;
+    asked[Add(0, account, now, now + 2)] = account;
+    for (const WaitTicket ticket : mLine.Expired(At(now))) {
+      mLine.Remove(ticket);
+    }
+    if (now >= nextStart) {
+      nextStart = now + 0.03;
+      const auto next = mLine.Next(At(now));
+      CHECK(next.has_value());
+      smallStarted += asked[*next] == "small" ? 1 : 0;
+      mLine.RecordStart(asked[*next]);
+      mLine.Remove(*next);
+    }
+  }
+  // First come, first served would start a third of them.
+  CHECK(smallStarted > 0.9 * small);
+}
+
+/// The load pattern: one and a half times what the places serve, from three
+/// urgencies alike.
+TEST(WaitLine, ABurstServesTheUrgentFirstAndStarvesNone)
+{
+  std::map<WaitTicket, std::int64_t> asked;
+  std::map<std::int64_t, int> started;
+  Random random(7);
+  double nextStart = 0;
+  for (double now = 0; now < 20; now += 0.01) {
+    const auto urgency = static_cast<std::int64_t>(random.Below(3));
+    asked[Add(urgency, "one", now, now + 2)] = urgency;
+    for (const WaitTicket ticket : mLine.Expired(At(now))) {
+      mLine.Remove(ticket);
+    }
+    if (now >= nextStart) {
+      nextStart = now + 0.015;
+      const auto next = mLine.Next(At(now));
+      CHECK(next.has_value());
+      started[asked[*next]] += 1;
+      mLine.Remove(*next);
+    }
+  }
+  CHECK(started[0] > started[2]);
+  CHECK(started[2] > 0);
+}
+
+TEST(WaitLine, WhoIsTurnedAwayComesBackSpreadAndAfterTheLine)
+{
+  CHECK(ReturnAfter(0, 100, 0) >= std::chrono::milliseconds(100));
+  CHECK(ReturnAfter(40, 50, 0) > ReturnAfter(10, 50, 0));
+  CHECK(ReturnAfter(10, 50, 0.9) > ReturnAfter(10, 50, 0.1));
+  CHECK(ReturnAfter(100000, 1, 1) <= std::chrono::seconds(2));
+}
--- a/include/Acaciavale/LibRelay/WaitLine.h
+++ b/include/Acaciavale/LibRelay/WaitLine.h
@@ -33,10 +33,9 @@
   WaitTicket Add(const WaitingWork& aWork);
   void Remove(WaitTicket aTicket);
 
-  /// The one to start next, which stays in line until removed: the most
-  /// urgent; among equals the account with the fewest starts lately, then who
-  /// has the least time left. Work that waited for kAgingTime per rank goes
-  /// up a rank, so that none starves.
+  /// The one to start next, which stays in line until removed. Urgency, the
+  /// account's starts lately and the time waited are weighed against each
+  /// other, so that none starves; among equals goes who has least time left.
   std::optional<WaitTicket> Next(TimePoint aNow) const;
 
   /// Those who can no longer start in time.
