Tell a connection that was written on from one that was not, and more

The caller read 503, and an endpoint ran it. Test: failed first (NotConnectedIsNeverSaidOnceSomethingWasWritten), passes now; the idle timer of callers' connections had the same fault. Change: no probe until the time in which a session's requests follow each other is over; a VM keeps sessions on the side that it saw them on; a step between the probe and all of the traffic; the detector of versions that turn bad is used.

--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -63,6 +63,7 @@
 
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
+  std::uint64_t mWait = 0; ///< Told apart, as a timer's handler may come late.
   std::shared_ptr<ListenerHooks> mHooks;
   std::function<void()> mOnClosed;
   boost::beast::flat_buffer mBuffer;
@@ -99,8 +100,10 @@
                                  Duration aTimeout)
 {
   mTimer.expires_after(aTimeout);
-  mTimer.async_wait([aSelf](const error_code& aError) {
-    if (!aError) {
+  const std::uint64_t wait = ++mWait;
+  mTimer.async_wait([aSelf, wait](const error_code& aError) {
+    // NOTE: A timer that ran out may be queued behind what it waited for.
+    if (!aError && aSelf->mPrivate->mWait == wait) {
       aSelf->mPrivate->Close();
     }
   });
@@ -211,8 +214,9 @@
 void ClientSession::Private::TakeRequest(
   const std::shared_ptr<ClientSession>& aSelf)
 {
-  error_code ignored; // NOTE: A timer that ran out has closed the session.
+  error_code ignored; // NOTE: A timer that ran out is told by its number.
   mTimer.cancel(ignored);
+  ++mWait;
   mRequest = mParser->release();
   mParser.reset();
   mPhase = Phase::Answering;
--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -205,6 +205,7 @@
   query.mLiveVms = aQuery.mLiveVms;
   query.mCrossDomainSeconds = aQuery.mCrossDomainSeconds;
   query.mPrefixHash = aQuery.mWork.mSharedHash;
+  query.mHomeInDomain = true;
   query.mPrefillSeconds =
     perToken * static_cast<double>(aQuery.mWork.mSharedTokens);
   const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -20,7 +20,7 @@
 /// Time to set up a connection, as a share of the goal, and its bounds: above
 /// some round trips, below the retransmission of a lost packet.
 constexpr double kConnectShare = 0.5;
-constexpr Duration kLeastConnect = std::chrono::milliseconds(60);
+constexpr Duration kLeastConnect = std::chrono::milliseconds(120);
 constexpr Duration kMostConnect = std::chrono::milliseconds(400);
 /// A VM's part of an endpoint's slots, times this: VMs do not all have the
 /// same traffic. At least some, so that small parts still use them.
@@ -244,6 +244,24 @@
   }
 }
 
+/// A session stays on the side that it is on until the shift.
+VersionSide Exchange::FirstSide(const std::optional<Course>& aCourse) const
+{
+  const bool mayStay = aCourse && aCourse->mStage == CourseStage::Probe &&
+                       !mRequest.mSession.empty();
+  const auto last =
+    mayStay ? mState->mSessions.IsOnTarget(mPool,
+                                           mRequest.mSession,
+                                           mState->mOptions.mSessionTime +
+                                             (mDeadline - mArrived),
+                                           MonotonicNow())
+            : std::nullopt;
+  if (last) {
+    return *last ? VersionSide::Target : VersionSide::NotTarget;
+  }
+  return SideOf(aCourse, mSideDraw);
+}
+
 Place Exchange::FindPlace()
 {
   const std::optional<Course> course = mState->CourseOf(mPool);
@@ -272,8 +290,7 @@
                                                   mState->mLiveVms)));
   }
   Place place;
-  for (const VersionSide side :
-       { SideOf(course, mSideDraw), FallbackSide(course) }) {
+  for (const VersionSide side : { FirstSide(course), FallbackSide(course) }) {
     query.mMayTake = [side, &course](const std::string& aVersion) {
       return MayTake(side, course, aVersion);
     };
@@ -367,6 +384,15 @@
   mTried.push_back(send.mEndpoint.get());
   mTriedOwners.push_back(send.mEndpoint);
   mState->mBook.RecordSend(*send.mEndpoint, send.mWork, now);
+  if (!mRequest.mSession.empty()) {
+    const std::optional<Course> course = mState->CourseOf(mPool);
+    mState->mSessions.Record(
+      mPool,
+      mRequest.mSession,
+      course && send.mEndpoint->mRecord.mVersion == course->mOrder.mTarget,
+      mState->mOptions.mSessionTime + (mDeadline - mArrived),
+      now);
+  }
 
   SendTerms terms;
   terms.mTimeLeft = mDeadline - now;
--- a/Libraries/LibRelay/ExchangeAnswers.cpp
+++ b/Libraries/LibRelay/ExchangeAnswers.cpp
@@ -35,6 +35,9 @@
 constexpr double kImpatientShare = 0.1;
 /// The same a window, so that a VM with few requests may have some.
 constexpr double kImpatientSlack = 3;
+/// An answer that is late and took this many times the usual is an error of its
+/// version: bad ones are several times slower.
+constexpr double kSlowMultiple = 4;
 /// Connections that one request tries in vain, beside its sends.
 constexpr std::int64_t kMostNotConnected = 4;
 
@@ -286,7 +289,11 @@
     cell.mAnswers += 1;
     // NOTE: Only what the endpoint itself says is an error of its version;
     //       connections break, and a silent endpoint is one that is slow.
-    cell.mErrors += aEnd == SendEnd::Failure ? 1 : 0;
+    const bool isSlow =
+      aSend.mFirstSeconds >
+      std::max(InSeconds(mRoute->mGoal),
+               kSlowMultiple * mState->mBook.UsualSeconds(mPool, aSend.mWork));
+    cell.mErrors += aEnd == SendEnd::Failure || isSlow ? 1 : 0;
     if (aEnd != SendEnd::Failure) {
       cell.mFirstTokenSeconds +=
         aSend.mFirstSeconds > 0 ? aSend.mFirstSeconds : outcome.mWholeSeconds;
--- a/Libraries/LibRelay/ModelChoice.cpp
+++ b/Libraries/LibRelay/ModelChoice.cpp
@@ -21,7 +21,7 @@
 /// one has to go until it is sure: fitted to the confidences of three models
 /// whose shares of good answers were known
 /// (docs/measurements/platform-days.md).
-constexpr double kEvenConfidence = 0.5;
+constexpr double kEvenConfidence = 0.4;
 constexpr double kConfidenceWidth = 0.09;
 
 /// What an answer is worth that is there after the seconds given.
--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -122,7 +122,9 @@
   SetSocketOptions(mSocket);
   mTimer.expires_after(mConnectTimeout);
   mTimer.async_wait([aSelf](const error_code& aError) {
-    if (!aError) {
+    // NOTE: The timer may have run out, and its handler been queued, before
+    //       the connection's handler stopped it.
+    if (!aError && !aSelf->mPrivate->mWasWritten) {
       aSelf->mPrivate->End(CallEnd::NotConnected);
     }
   });
--- a/Libraries/LibRelay/RolloutCourse.cpp
+++ b/Libraries/LibRelay/RolloutCourse.cpp
@@ -1,18 +1,29 @@
 #include <Acaciavale/LibRelay/RolloutCourse.h>
 
+#include <algorithm>
+
 namespace Acaciavale::Relay {
 
 namespace {
 
 /// Share of sessions that probe a new version. Deployments let a bad version
 /// have 0.12 of a pool's requests or more; repeats and the requests until a
-/// revert reaches all VMs come on top of this.
-constexpr double kProbeShare = 0.08;
+/// revert reaches all VMs come on top of this. A large fleet learns as much
+/// from a smaller share, and fewer sessions cross over by mistake.
+constexpr double kProbeShare = 0.1;
+constexpr double kLargeFleetProbeShare = 0.03;
+constexpr std::int64_t kLargeFleetVms = 30;
+/// Beyond a session's time before the probe: readings of the store are that far
+/// apart.
+constexpr Duration kOrderSpread = std::chrono::seconds(1);
+/// Share of the step between the probe and all of the traffic.
+constexpr double kStepShare = 0.35;
 /// Parts of the order's duration. Sessions may not change sides before its
 /// first half is over. The shift leaves the longest usual streams the time to
 /// end on the old version, and the end some seconds for a VM that takes over.
-constexpr double kShiftAt = 0.52;
-constexpr double kDecideAt = 0.66;
+constexpr double kStepAt = 0.52;
+constexpr double kShiftAt = 0.62;
+constexpr double kDecideAt = 0.7;
 constexpr double kCompleteAt = 0.86;
 /// Answers that the judge wants before it calls a new version as good; at the
 /// smallest pools' rates a probe gathers about so many.
@@ -36,6 +47,11 @@
   return settings;
 }
 
+double PartOf(const CourseOrder& aOrder, Duration aElapsed)
+{
+  return InSeconds(aElapsed) / std::max(0.001, InSeconds(aOrder.mDuration));
+}
+
 bool PassesThinProbe(const CourseEvidence& aEvidence)
 {
   const double oldShare = aEvidence.mOld.mAnswers > 0
@@ -48,6 +64,20 @@
 
 } // namespace
 
+double ProbeShareAt(const CourseOrder& aOrder,
+                    Duration aElapsed,
+                    Duration aSessionTime,
+                    std::int64_t aVms)
+{
+  if (PartOf(aOrder, aElapsed) >= kStepAt) {
+    return kStepShare;
+  }
+  if (aElapsed < aSessionTime + kOrderSpread) {
+    return 0;
+  }
+  return aVms >= kLargeFleetVms ? kLargeFleetProbeShare : kProbeShare;
+}
+
 VersionSide SideOf(const std::optional<Course>& aCourse, double aDraw)
 {
   if (!aCourse) {
@@ -55,7 +85,8 @@
   }
   switch (aCourse->mStage) {
     case CourseStage::Probe:
-      return aDraw < kProbeShare ? VersionSide::Target : VersionSide::NotTarget;
+      return aDraw < aCourse->mProbeShare ? VersionSide::Target
+                                          : VersionSide::NotTarget;
     case CourseStage::Shift:
     case CourseStage::Completed:
       return VersionSide::Target;
@@ -84,8 +115,15 @@
          (aSide == VersionSide::Target);
 }
 
+RolloutWatch WatchCourse(RolloutWatch aWatch, const CourseEvidence& aEvidence)
+{
+  return WatchRollout(
+    JudgeSettings(), std::move(aWatch), aEvidence.mOld, aEvidence.mNew);
+}
+
 CourseDecision DecideStage(const Course& aCourse,
                            const CourseEvidence& aEvidence,
+                           const RolloutWatch& aWatch,
                            Duration aElapsed)
 {
   if (aCourse.mStage == CourseStage::Completed ||
@@ -97,8 +135,11 @@
   if (verdict.mVerdict == RolloutVerdict::Halt) {
     return { CourseStage::Reverted, verdict.mReason };
   }
-  const double passed = std::chrono::duration<double>(aElapsed) /
-                        std::chrono::duration<double>(aCourse.mOrder.mDuration);
+  const RolloutDecision turned = JudgeWatch(JudgeSettings(), aWatch);
+  if (turned.mVerdict == RolloutVerdict::Halt) {
+    return { CourseStage::Reverted, turned.mReason };
+  }
+  const double passed = PartOf(aCourse.mOrder, aElapsed);
   if (aCourse.mStage == CourseStage::Shift) {
     return passed >= kCompleteAt
              ? CourseDecision{ CourseStage::Completed,
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -123,7 +123,17 @@
 {
   const EndpointView* home = nullptr;
   std::uint64_t highest = 0;
+  const bool onlyDomain =
+    aQuery.mHomeInDomain &&
+    std::any_of(
+      aEndpoints.begin(), aEndpoints.end(), [&](const EndpointView& aEndpoint) {
+        return aEndpoint.mFailureDomain == aQuery.mFailureDomain &&
+               !aEndpoint.mLeaving && !aEndpoint.mEjected;
+      });
   for (const EndpointView& endpoint : aEndpoints) {
+    if (onlyDomain && endpoint.mFailureDomain != aQuery.mFailureDomain) {
+      continue;
+    }
     const std::uint64_t rank =
       RendezvousRank(aQuery.mPrefixHash, endpoint.mKey);
     const bool mayBeHome =
--- /dev/null
+++ b/Tests/LibRelay/TestOutboundCall.cpp
@@ -0,0 +1,79 @@
+#include <Acaciavale/LibRelay/ClientSession.h>
+#include <Acaciavale/LibRelay/OutboundCall.h>
+
+#include <CppUTest/TestHarness.h>
+#include <thread>
+
+using namespace Acaciavale;
+using namespace Acaciavale::Relay;
+
+TEST_GROUP(OutboundCall)
+{
+  boost::asio::io_context mLoop{ 1 };
+  int mRequests = 0;
+  Listener mServer{ mLoop,
+                    "127.0.0.1:0",
+                    { [this](const std::shared_ptr<ClientSession>& aSession) {
+                       ++mRequests;
+                       AnswerHead head;
+                       head.version(11);
+                       head.result(200);
+                       aSession->Send(std::move(head), "hello");
+                     },
+                      [this] { return mBounds; },
+                      [] { return false; } } };
+  RequestBounds mBounds;
+
+  std::shared_ptr<OutboundCall> Start(Duration aConnectTimeout,
+                                      std::optional<CallEnd> & aEnd)
+  {
+    CallTerms terms;
+    terms.mAddress = mServer.Address();
+    terms.mConnectTimeout = aConnectTimeout;
+    terms.mHead.version(11);
+    terms.mHead.method_string("GET");
+    terms.mHead.target("/");
+    terms.mHead.set("Host", "a");
+    CallHandlers handlers;
+    handlers.mOnHead = [](const AnswerHead&) {};
+    handlers.mOnBody = [](std::string_view) {};
+    handlers.mOnEnd = [&aEnd](CallEnd aHow) { aEnd = aHow; };
+    return OutboundCall::Start(mLoop, std::move(terms), std::move(handlers));
+  }
+};
+
+/// The connection is there and the time for it is up when the loop gets to
+/// run, as on a VM that was kept from its processor: "not connected" would say
+/// that nothing was written, while the request is on its way.
+TEST(OutboundCall, NotConnectedIsNeverSaidOnceSomethingWasWritten)
+{
+  for (int call = 0; call < 20; ++call) {
+    std::optional<CallEnd> end;
+    const int before = mRequests;
+    Start(std::chrono::milliseconds(1), end);
+    std::this_thread::sleep_for(std::chrono::milliseconds(3));
+    while (!end) {
+      mLoop.run_one();
+    }
+    mLoop.run_for(std::chrono::milliseconds(5));
+    CHECK(end != CallEnd::NotConnected || mRequests == before);
+  }
+}
+
+/// The same for a caller's connection whose idle time is up as its request
+/// comes in.
+TEST(OutboundCall, ARequestThatCameInTimeIsServedWhateverTheTimerSays)
+{
+  mBounds.mIdleTimeout = std::chrono::milliseconds(2);
+  mBounds.mHeaderTimeout = std::chrono::milliseconds(2);
+  for (int call = 0; call < 20; ++call) {
+    std::optional<CallEnd> end;
+    const int before = mRequests;
+    Start(std::chrono::seconds(5), end);
+    while (!end) {
+      mLoop.run_one();
+      std::this_thread::sleep_for(std::chrono::microseconds(900));
+    }
+    CHECK(mRequests == before || end == CallEnd::Complete);
+  }
+}
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -250,6 +250,8 @@
   mFile.mStore = mStore.Address();
   mFile.mShortestLease = std::chrono::seconds(1);
   mFile.mStopWithin = std::chrono::seconds(8);
+  mFile.mInForce = std::chrono::seconds(2);
+  mFile.mLeaving = std::chrono::seconds(2);
   mFile.mKeyProof = std::chrono::seconds(5);
   mFile.mRetryRatio = 0.9;
   mFile.mRetryWindow = std::chrono::seconds(10);
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -27,8 +27,12 @@
   /// been the newest this long ago or later.
   Duration mKeyProof = std::chrono::seconds(5);
   RetryBudgetTerms mRetryBudget;
-  /// What a send out of this VM's failure domain costs, as time.
-  Duration mCrossDomainCost = std::chrono::milliseconds(5);
+  /// Requests of a session follow each other within this time.
+  Duration mSessionTime = std::chrono::seconds(5);
+  /// What a send out of this VM's failure domain costs, as time: the bytes of
+  /// a request between domains are priced like some tenths of an engine's
+  /// second (docs/measurements/platform-days.md).
+  Duration mCrossDomainCost = std::chrono::milliseconds(300);
   /// Value of a good answer, in the money of the models' cost, for each
   /// thousand tokens asked (a generated one counts as ten).
   double mAnswerValue = 0.25;
--- a/include/Acaciavale/LibRelay/RolloutCourse.h
+++ b/include/Acaciavale/LibRelay/RolloutCourse.h
@@ -34,6 +34,7 @@
 {
   CourseOrder mOrder;
   CourseStage mStage = CourseStage::Probe;
+  double mProbeShare = 0; ///< Of sessions that go to the new version now.
 
   auto operator<=>(const Course&) const = default;
 };
@@ -45,6 +46,15 @@
   NotTarget,
 };
 
+/// The share of sessions that probe the new version. None at first: sessions
+/// that were open at the order stay on their version, and end or are known
+/// within the time in which a session's requests follow each other. Some more
+/// when sessions may change sides, so that all the traffic comes in steps.
+double ProbeShareAt(const CourseOrder& aOrder,
+                    Duration aElapsed,
+                    Duration aSessionTime,
+                    std::int64_t aVms);
+
 /// Which side a request goes to. The draw, in [0, 1), is the session's or the
 /// request's own, the same on all VMs, so that a session stays on its side.
 VersionSide SideOf(const std::optional<Course>& aCourse, double aDraw);
@@ -73,10 +83,14 @@
   auto operator<=>(const CourseDecision&) const = default;
 };
 
-/// The stage that the course should be in, from LibRollout's judge and the time
-/// since the order.
+/// LibRollout's detector of a version that turns bad, with what has come in.
+RolloutWatch WatchCourse(RolloutWatch aWatch, const CourseEvidence& aEvidence);
+
+/// The stage that the course should be in, from LibRollout's judge and detector
+/// and the time since the order.
 CourseDecision DecideStage(const Course& aCourse,
                            const CourseEvidence& aEvidence,
+                           const RolloutWatch& aWatch,
                            Duration aElapsed);
 
 } // namespace Acaciavale::Relay
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -51,6 +51,9 @@
   /// Hash of the prompt's prefix; 0 is none. It has a home endpoint, by
   /// rendezvous hashing over the keys, that all VMs prefer alike.
   std::uint64_t mPrefixHash = 0;
+  /// Whether the home is one of this VM's failure domain, where there are any:
+  /// each domain then keeps a copy, and nothing is sent to another.
+  bool mHomeInDomain = false;
   /// Share of the pool that this work leaves to more urgent work: above 0 it
   /// keeps off the reserved endpoints. See ReservedShare and ReservedEndpoints.
   double mReservedShare = 0;
