Let some VMs read the store for all

Change: two VMs, or one in sixteen, read (Readers); the others ask one of these for its entries, known by a digest that leaves out counters, and get an age and mostly nothing else; what they saw of roll-outs goes with the question, so that only readers write evidence. An age by the answering VM's clock and a time by the asking VM's own keep the proof of keys right whatever the clocks say. Who is not answered, or old, reads the store. Ruled out: stale reads (may be seconds old: not for keys or leaving endpoints). Tests: Readers group, VmsThatAskOthersFollowTheStore.

--- /dev/null
+++ b/Libraries/LibRelay/Readers.cpp
@@ -0,0 +1,59 @@
+#include <Acaciavale/LibRelay/Readers.h>
+
+#include <algorithm>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// Others that one reader serves: each asks about once a second for some
+/// hundred bytes.
+constexpr std::size_t kVmsPerReader = 16;
+constexpr std::size_t kLeastReaders = 2;
+/// Pauses as shares of the bound on a change. Their sum is the longest way of a
+/// change; the oldest reading leaves time to read the store instead.
+constexpr double kReaderShare = 0.25;
+constexpr double kOtherShare = 0.3;
+constexpr double kOldestShare = 0.4;
+/// Where bounds are wide, keys still have to be proven.
+constexpr Duration kWidestBound = std::chrono::seconds(4);
+
+} // namespace
+
+std::size_t ReaderCount(std::size_t aVms)
+{
+  return std::max(kLeastReaders, (aVms + kVmsPerReader - 1) / kVmsPerReader);
+}
+
+bool IsReader(const std::vector<std::string>& aSortedVms,
+              const std::string& aSelf)
+{
+  const auto found =
+    std::lower_bound(aSortedVms.begin(), aSortedVms.end(), aSelf);
+  const bool isListed = found != aSortedVms.end() && *found == aSelf;
+  return !isListed || static_cast<std::size_t>(found - aSortedVms.begin()) <
+                        ReaderCount(aSortedVms.size());
+}
+
+std::optional<std::string> ReaderFor(const std::vector<std::string>& aSortedVms,
+                                     const std::string& aSelf,
+                                     std::size_t aAttempt)
+{
+  if (IsReader(aSortedVms, aSelf)) {
+    return std::nullopt;
+  }
+  const auto rank = static_cast<std::size_t>(
+    std::lower_bound(aSortedVms.begin(), aSortedVms.end(), aSelf) -
+    aSortedVms.begin());
+  return aSortedVms[(rank + aAttempt) % ReaderCount(aSortedVms.size())];
+}
+
+ReadingPauses PausesWithin(Duration aBound)
+{
+  const double bound = InSeconds(std::min(aBound, kWidestBound));
+  return { FromSeconds(kReaderShare * bound),
+           FromSeconds(kOtherShare * bound),
+           FromSeconds(kOldestShare * bound) };
+}
+
+} // namespace Acaciavale::Relay
--- /dev/null
+++ b/Tests/LibRelay/TestReaders.cpp
@@ -0,0 +1,63 @@
+#include <Acaciavale/LibRelay/Readers.h>
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace Acaciavale;
+using namespace Acaciavale::Relay;
+
+TEST_GROUP(Readers)
+{
+  static std::vector<std::string> Vms(std::size_t aCount)
+  {
+    std::vector<std::string> names;
+    for (std::size_t vm = 0; vm < aCount; ++vm) {
+      names.push_back("vm-" + std::to_string(1000 + vm));
+    }
+    return names;
+  }
+};
+
+TEST(Readers, TheirNumberGrowsSlowlyAndTheirLoadIsEven)
+{
+  for (const std::size_t count : { 3U, 8U, 74U, 330U }) {
+    const auto vms = Vms(count);
+    std::map<std::string, int> asked;
+    std::size_t readers = 0;
+    for (const std::string& vm : vms) {
+      readers += IsReader(vms, vm) ? 1 : 0;
+      if (const auto reader = ReaderFor(vms, vm, 0)) {
+        CHECK(IsReader(vms, *reader));
+        asked[*reader] += 1;
+      }
+    }
+    UNSIGNED_LONGS_EQUAL(ReaderCount(count), readers);
+    CHECK(readers <= 2 + count / 15);
+    for (const auto& [reader, others] : asked) {
+      CHECK(others <= 17);
+    }
+  }
+}
+
+TEST(Readers, AnotherOneIsAskedWhereTheFirstFails)
+{
+  const auto vms = Vms(8);
+  CHECK(ReaderFor(vms, vms[5], 0) != ReaderFor(vms, vms[5], 1));
+  CHECK(ReaderFor(vms, vms[5], 0) == ReaderFor(vms, vms[5], 2));
+}
+
+TEST(Readers, AVmThatIsNotListedReadsItself)
+{
+  CHECK(IsReader({}, "vm"));
+  CHECK(IsReader(Vms(8), "vm-9999"));
+  CHECK_FALSE(ReaderFor(Vms(8), "vm-9999", 0).has_value());
+}
+
+TEST(Readers, AChangeArrivesWithinItsBound)
+{
+  const Duration bound = std::chrono::seconds(2);
+  const ReadingPauses pauses = PausesWithin(bound);
+  CHECK(pauses.mOfReaders + pauses.mOfOthers < bound * 6 / 10);
+  CHECK(pauses.mOldest + pauses.mOfOthers < bound * 3 / 4);
+  CHECK(pauses.mOldest > pauses.mOfReaders);
+}
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -3,6 +3,7 @@
 #include <Acaciavale/LibCore/Log.h>
 
 #include <CppUTest/TestHarness.h>
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -247,6 +248,7 @@
   mFile.mReadiness = "127.0.0.1:0";
   mFile.mDirectory = "127.0.0.1:0";
   mFile.mMetrics = "127.0.0.1:0";
+  mFile.mPeers = "127.0.0.1:0";
   mFile.mStore = mStore.Address();
   mFile.mShortestLease = std::chrono::seconds(1);
   mFile.mStopWithin = std::chrono::seconds(8);
@@ -351,6 +353,14 @@
       .dump());
 }
 
+std::string World::FreeAddress()
+{
+  const boost::asio::ip::tcp::acceptor probe(
+    mLoop,
+    boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
 void World::BeginNode()
 {
   mNode = std::make_unique<Node>(mLoop, "", mFile);
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -127,6 +127,9 @@
   void PutSettings(std::int64_t aVersion,
                    const std::vector<std::string>& aKeys = { "key-1" });
 
+  /// An address that nothing listens at, as the kernel chose it.
+  std::string FreeAddress();
+
   /// Starts the VM and waits until it is ready.
   void StartNode();
 
--- a/Tests/Platform/TestWholePath.cpp
+++ b/Tests/Platform/TestWholePath.cpp
@@ -376,9 +376,10 @@
   mWorld.Until(
     [&] { return status().find("in_progress") != std::string::npos; });
   int oldOnes = 0;
-  while (status().find("completed") == std::string::npos) {
+  mWorld.Until([&] {
     oldOnes += Post("/once/x").mBody == "old" ? 1 : 0;
-  }
+    return status().find("completed") != std::string::npos;
+  });
   CHECK(oldOnes > 0);
   STRCMP_EQUAL("new", Post("/once/x").mBody.c_str());
 }
@@ -403,9 +404,10 @@
   const auto status = [&] {
     return mWorld.mStore.Value("status/rollout/desk").value_or("");
   };
-  while (status().find("reverted") == std::string::npos) {
+  mWorld.Until([&] {
     Post("/once/x");
-  }
+    return status().find("reverted") != std::string::npos;
+  });
   mWorld.UntilRead();
   const std::size_t before = bad.mArrivals.size();
   for (int request = 0; request < 40; ++request) {
@@ -413,3 +415,36 @@
   }
   LONGS_EQUAL(before, bad.mArrivals.size());
 }
+
+/// Readings are passed on: of many VMs few call the store, all follow it, and
+/// one that its reader does not answer reads for itself.
+TEST(WholePath, VmsThatAskOthersFollowTheStore)
+{
+  mWorld.PutSettings(1, { "key-1" });
+  mWorld.Add("desk", "i-1", Answers("hello"));
+  mWorld.mFile.mName = "vm-9";
+  std::vector<std::unique_ptr<Platform::Node>> readers;
+  for (const char* name : { "vm-1", "vm-2" }) {
+    auto file = mWorld.mFile;
+    file.mName = name;
+    file.mPeers = mWorld.FreeAddress();
+    readers.push_back(std::make_unique<Platform::Node>(mWorld.mLoop, "", file));
+    readers.back()->Start();
+  }
+  mWorld.StartNode();
+  mWorld.Until([&] { return mWorld.mStore.Value("vms/vm-9").has_value(); });
+  mWorld.RunFor(std::chrono::milliseconds(1500));
+  const int before = mWorld.mStore.Calls();
+  mWorld.RunFor(std::chrono::milliseconds(2000));
+  // Two readers twice a second, and three renewals a second.
+  CHECK(mWorld.mStore.Calls() - before <= 16);
+  mWorld.PutSettings(2, { "key-2" });
+  mWorld.Until([&] {
+    return Post("/once/x", { { "Key", "key-2" } }).mHead.result_int() == 200;
+  });
+  readers.clear();
+  mWorld.PutSettings(3, { "key-3" });
+  mWorld.Until([&] {
+    return Post("/once/x", { { "Key", "key-3" } }).mHead.result_int() == 200;
+  });
+}
