--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -389,7 +389,7 @@
   mPrivate->mOnDrained = std::move(aCall);
 }
 
-void ClientSession::Send(AnswerHead aHead, std::string aBody)
+void ClientSession::Send(AnswerHead aHead, const std::string& aBody)
 {
   if (mPrivate->mPhase != Private::Phase::Answering) {
     return;
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -99,7 +99,7 @@
 
 void Exchange::AwaitView(std::string_view aWhy)
 {
-  if (mHasView) {
+  if (mHasView || mState->mReadingFails) {
     Refuse(503, aWhy, kReturnToOthers);
     return;
   }
@@ -432,8 +432,7 @@
 {
   if (mFailureHead) {
     mFirstMilliseconds = InSeconds(MonotonicNow() - mArrived) * 1000;
-    mSession->Send(mState->mCodec.mEncodeAnswer(*mFailureHead),
-                   std::move(mFailureBody));
+    mSession->Send(mState->mCodec.mEncodeAnswer(*mFailureHead), mFailureBody);
     Finish("the endpoint failed it");
     return;
   }
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -129,6 +129,7 @@
   mState->mLiveVms = std::max<std::int64_t>(1, aView.mLiveVms);
   mState->mAskedAt = aView.mAskedAt;
   mState->mIsTold = true;
+  mState->mReadingFails = false;
   const auto waiting = std::move(mState->mAwaitingView);
   mState->mAwaitingView.clear();
   for (const auto& weak : waiting) {
@@ -145,6 +146,18 @@
   }
 }
 
+void Relay::NoteReadingFailed()
+{
+  mState->mReadingFails = true;
+  const auto waiting = std::move(mState->mAwaitingView);
+  mState->mAwaitingView.clear();
+  for (const auto& weak : waiting) {
+    if (const auto exchange = weak.lock()) {
+      exchange->OnView();
+    }
+  }
+}
+
 void Relay::Serve(const std::shared_ptr<ClientSession>& aSession)
 {
   Exchange::Start(mState, aSession);
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -74,6 +74,7 @@
   std::map<std::string, PoolLine> mLines;
   std::int64_t mLiveVms = 1;
   TimePoint mAskedAt{};
+  bool mReadingFails = false;
   bool mIsTold = false; ///< Whether a view has been applied at all.
   std::size_t mOpen = 0;
   Metrics mMetrics;
--- a/Tests/LibRelay/TestReaders.cpp
+++ b/Tests/LibRelay/TestReaders.cpp
@@ -6,17 +6,15 @@
 using namespace Acaciavale;
 using namespace Acaciavale::Relay;
 
-TEST_GROUP(Readers)
-{
-  static std::vector<std::string> Vms(std::size_t aCount)
-  {
-    std::vector<std::string> names;
-    for (std::size_t vm = 0; vm < aCount; ++vm) {
-      names.push_back("vm-" + std::to_string(1000 + vm));
-    }
-    return names;
-  }
-};
+TEST_GROUP(Readers){ static std::vector<std::string> Vms(std::size_t aCount){
+  std::vector<std::string> names;
+for (std::size_t vm = 0; vm < aCount; ++vm) {
+  names.push_back("vm-" + std::to_string(1000 + vm));
+}
+return names;
+}
+}
+;
 
 TEST(Readers, TheirNumberGrowsSlowlyAndTheirLoadIsEven)
 {
--- a/Tests/Platform/TestWholePath.cpp
+++ b/Tests/Platform/TestWholePath.cpp
@@ -106,6 +106,23 @@
   LONGS_EQUAL(200, Post("/open/x").mHead.result_int());
 }
 
+/// While the store is known to be lost nothing is gained by waiting for it.
+TEST(WholePath, WithoutTheStoreARefusalComesAtOnce)
+{
+  mWorld.PutSettings(1);
+  mWorld.Add("desk", "i-1", Answers("hello"));
+  mWorld.mFile.mKeyProof = std::chrono::milliseconds(600);
+  mWorld.StartNode();
+  mWorld.mStore.SetMode(Store::Mode::Busy);
+  mWorld.RunFor(std::chrono::milliseconds(1500));
+  const int before = mWorld.mStore.Calls();
+  for (int request = 0; request < 4; ++request) {
+    LONGS_EQUAL(503, Post("/once/x").mHead.result_int());
+  }
+  // Four waits would have seen as many readings tried.
+  CHECK(mWorld.mStore.Calls() - before <= 1);
+}
+
 TEST(WholePath, SettingsNeverGoBack)
 {
   mWorld.PutSettings(5, { "key-1" });
--- a/include/Acaciavale/LibRelay/ClientSession.h
+++ b/include/Acaciavale/LibRelay/ClientSession.h
@@ -32,7 +32,7 @@
   /// Called each time that all written bytes are with the system.
   void OnDrained(std::function<void()> aCall);
 
-  void Send(AnswerHead aHead, std::string aBody);
+  void Send(AnswerHead aHead, const std::string& aBody);
 
   void BeginStream(AnswerHead aHead);
   void SendPiece(std::string_view aBytes);
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -74,6 +74,10 @@
   /// that they never go back.
   void Apply(FleetView aView);
 
+  /// Says that the fleet can't be read now: what waits for a view is refused at
+  /// once, until the next one.
+  void NoteReadingFailed();
+
   /// Serves the session's open request.
   void Serve(const std::shared_ptr<ClientSession>& aSession);
 
