--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -84,23 +84,23 @@
   pool.mLastStart = aNow;
 }
 
-Relay::Relay(boost::asio::io_context& aLoop,
-             WireCodec aCodec,
-             RelayOptions aOptions)
+RequestRelay::RequestRelay(boost::asio::io_context& aLoop,
+                           WireCodec aCodec,
+                           RelayOptions aOptions)
   : mState(std::make_shared<RelayState>(aLoop,
                                         std::move(aCodec),
                                         std::move(aOptions)))
 {
 }
 
-Relay::~Relay() = default;
+RequestRelay::~RequestRelay() = default;
 
-void Relay::SetOptions(RelayOptions aOptions)
+void RequestRelay::SetOptions(RelayOptions aOptions)
 {
   mState->mOptions = std::move(aOptions);
 }
 
-void Relay::Apply(FleetView aView)
+void RequestRelay::Apply(FleetView aView)
 {
   const bool isNewer =
     aView.mSettings && (!mState->mSettings || aView.mSettings->mVersion >=
@@ -146,7 +146,7 @@
   }
 }
 
-void Relay::NoteReadingFailed()
+void RequestRelay::NoteReadingFailed()
 {
   mState->mReadingFails = true;
   const auto waiting = std::move(mState->mAwaitingView);
@@ -158,42 +158,42 @@
   }
 }
 
-void Relay::Serve(const std::shared_ptr<ClientSession>& aSession)
+void RequestRelay::Serve(const std::shared_ptr<ClientSession>& aSession)
 {
   Exchange::Start(mState, aSession);
 }
 
-bool Relay::IsReady() const
+bool RequestRelay::IsReady() const
 {
   return mState->KnowsKeys();
 }
 
-RequestBounds Relay::Bounds() const
+RequestBounds RequestRelay::Bounds() const
 {
   return mState->mSettings ? mState->mSettings->mBounds : RequestBounds{};
 }
 
-std::size_t Relay::OpenRequests() const
+std::size_t RequestRelay::OpenRequests() const
 {
   return mState->mOpen;
 }
 
-std::map<std::string, CourseEvidence> Relay::Evidence() const
+std::map<std::string, CourseEvidence> RequestRelay::Evidence() const
 {
   return mState->mEvidence;
 }
 
-std::vector<LoadReport> Relay::LoadsWithin(Duration aAge) const
+std::vector<LoadReport> RequestRelay::LoadsWithin(Duration aAge) const
 {
   return mState->mBook.LoadsWithin(aAge, MonotonicNow());
 }
 
-void Relay::TakeLoads(const std::vector<LoadReport>& aReports)
+void RequestRelay::TakeLoads(const std::vector<LoadReport>& aReports)
 {
   mState->mBook.TakeLoads(aReports, MonotonicNow());
 }
 
-std::string Relay::MetricsText() const
+std::string RequestRelay::MetricsText() const
 {
   return mState->mMetrics.Text();
 }
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -402,10 +402,11 @@
   Until([&] { return mStore.Calls() >= calls + 4; });
 }
 
-std::shared_ptr<OutboundCall> World::Begin(Request aRequest,
-                                           const std::string& aAddress,
-                                           std::shared_ptr<Answer> aAnswer,
-                                           std::function<void()> aOnEnd)
+std::shared_ptr<OutboundCall> World::Begin(
+  const Request& aRequest,
+  const std::string& aAddress,
+  const std::shared_ptr<Answer>& aAnswer,
+  const std::function<void()>& aOnEnd)
 {
   CallTerms terms;
   terms.mAddress = aAddress;
@@ -444,9 +445,7 @@
   aRequest.mHeader.emplace("Key", "key-1");
   const auto answer = std::make_shared<Answer>();
   bool isOver = false;
-  Begin(std::move(aRequest), mNode->Callers(), answer, [&isOver] {
-    isOver = true;
-  });
+  Begin(aRequest, mNode->Callers(), answer, [&isOver] { isOver = true; });
   Until([&isOver] { return isOver; });
   return *answer;
 }
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -155,10 +155,11 @@
     std::map<std::string, std::string> mHeader;
   };
   Answer Call(Request aRequest);
-  std::shared_ptr<Relay::OutboundCall> Begin(Request aRequest,
-                                             const std::string& aAddress,
-                                             std::shared_ptr<Answer> aAnswer,
-                                             std::function<void()> aOnEnd);
+  std::shared_ptr<Relay::OutboundCall> Begin(
+    const Request& aRequest,
+    const std::string& aAddress,
+    const std::shared_ptr<Answer>& aAnswer,
+    const std::function<void()>& aOnEnd);
   Answer Page(const std::string& aAddress, const std::string& aTarget);
 
   boost::asio::io_context mLoop{ 1 };
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -58,15 +58,15 @@
 
 struct RelayState;
 
-class Relay
+class RequestRelay
 {
 public:
-  Relay(boost::asio::io_context& aLoop,
-        WireCodec aCodec,
-        RelayOptions aOptions);
-  ~Relay();
-  Relay(const Relay&) = delete;
-  Relay& operator=(const Relay&) = delete;
+  RequestRelay(boost::asio::io_context& aLoop,
+               WireCodec aCodec,
+               RelayOptions aOptions);
+  ~RequestRelay();
+  RequestRelay(const RequestRelay&) = delete;
+  RequestRelay& operator=(const RequestRelay&) = delete;
 
   void SetOptions(RelayOptions aOptions);
 
