--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -153,13 +153,32 @@
                               boost::log::keywords::auto_flush = true);
 }
 
+namespace {
+
+namespace sinks = boost::log::sinks;
+using BoundedSink = sinks::asynchronous_sink<
+  sinks::text_ostream_backend,
+  sinks::bounded_fifo_queue<kMostWaitingLines, sinks::drop_on_overflow>>;
+
+boost::shared_ptr<BoundedSink> sBoundedSink;
+
+} // namespace
+
+void FinishBoundedLog()
+{
+  if (!sBoundedSink) {
+    return;
+  }
+  boost::log::core::get()->remove_sink(sBoundedSink);
+  sBoundedSink->stop();
+  sBoundedSink->flush();
+  sBoundedSink.reset();
+}
+
 void ConfigureBoundedLog(LogLevel aLeast,
                          LogFormat aFormat,
                          int aLinesPerSecond)
 {
-  namespace sinks = boost::log::sinks;
-  using Queue =
-    sinks::bounded_fifo_queue<kMostWaitingLines, sinks::drop_on_overflow>;
   sLeastLevel = aLeast;
   sFormat = aFormat;
   sBudget.Set(aLinesPerSecond);
@@ -167,8 +186,8 @@
   backend->add_stream(
     boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   backend->auto_flush(true);
-  const auto sink = boost::make_shared<
-    sinks::asynchronous_sink<sinks::text_ostream_backend, Queue>>(backend);
+  const auto sink = boost::make_shared<BoundedSink>(backend);
+  sBoundedSink = sink;
   sink->set_formatter(boost::log::expressions::stream
                       << boost::log::expressions::smessage);
   boost::log::core::get()->remove_all_sinks();
--- a/Tests/Platform/TestWholePath.cpp
+++ b/Tests/Platform/TestWholePath.cpp
@@ -373,6 +373,29 @@
   STRCMP_EQUAL("first", answer->mBody.c_str());
 }
 
+/// A request that does not end keeps a VM that stops only until shortly before
+/// it would be killed: its end takes time as well.
+TEST(WholePath, AVmThatStopsEndsBeforeItIsKilled)
+{
+  mWorld.PutSettings(1);
+  const Replica& desk = mWorld.Add("desk", "i-1", Hangs());
+  mWorld.mFile.mStopWithin = std::chrono::milliseconds(3600);
+  mWorld.StartNode();
+  const auto answer = std::make_shared<Answer>();
+  mWorld.Begin({ "POST",
+                 "/once/x",
+                 "body",
+                 { { "Attempt-Id", "id-1" }, { "Key", "key-1" } } },
+               mWorld.mNode->Callers(),
+               answer,
+               [] {});
+  mWorld.Until([&] { return desk.mArrivals.size() == 1; });
+  bool isStopped = false;
+  mWorld.mNode->Stop([&isStopped] { isStopped = true; });
+  mWorld.Until([&isStopped] { return isStopped; });
+  CHECK(answer->mEnd != CallEnd::Complete);
+}
+
 TEST(WholePath, AfterAllVmsLostPowerTheAcknowledgedStateIsServed)
 {
   mWorld.PutSettings(1, { "key-1" });
--- a/include/Acaciavale/LibCore/Log.h
+++ b/include/Acaciavale/LibCore/Log.h
@@ -34,6 +34,10 @@
                          LogFormat aFormat,
                          int aLinesPerSecond);
 
+/// Writes out what ConfigureBoundedLog's thread still holds and ends it; for
+/// the end of a process.
+void FinishBoundedLog();
+
 /// Writes one line. Control characters in any part are escaped, so that no
 /// caller can forge a line.
 void Log(LogLevel aLevel,
