--- /dev/null
+++ b/Libraries/LibRelay/Listener.cpp
@@ -0,0 +1,150 @@
+#include "ClientSessionPrivate.h"
+#include "SocketOptions.h"
+
+#include <Acaciavale/LibCore/Log.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// Pause before the next accept when the process is out of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+constexpr int kAcceptQueue = 1024;
+
+} // namespace
+
+struct Listener::Private : public std::enable_shared_from_this<Private>
+{
+  Private(asio::io_context& aLoop, ListenerHooks aHooks)
+    : mAcceptor(aLoop)
+    , mTimer(aLoop)
+    , mHooks(std::make_shared<ListenerHooks>(std::move(aHooks)))
+  {
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  asio::steady_timer mTimer;
+  std::shared_ptr<ListenerHooks> mHooks;
+  std::set<std::shared_ptr<ClientSession>> mSessions;
+
+  void Accept();
+  void Begin(asio::ip::tcp::socket aSocket);
+};
+
+void Listener::Private::Accept()
+{
+  mAcceptor.async_accept(
+    [self = shared_from_this()](const error_code& aError,
+                                asio::ip::tcp::socket aSocket) {
+      if (!self->mAcceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        self->Begin(std::move(aSocket));
+        self->Accept();
+        return;
+      }
+      Log(LogLevel::Warning,
+          "listener",
+          "A connection can't be accepted.",
+          { { "error", aError.message() } });
+      self->mTimer.expires_after(kAcceptPause);
+      self->mTimer.async_wait([self](const error_code& aStopped) {
+        if (!aStopped && self->mAcceptor.is_open()) {
+          self->Accept();
+        }
+      });
+    });
+}
+
+void Listener::Private::Begin(asio::ip::tcp::socket aSocket)
+{
+  SetSocketOptions(aSocket);
+  std::shared_ptr<ClientSession> session(new ClientSession(
+    std::make_unique<ClientSession::Private>(std::move(aSocket))));
+  session->mPrivate->mHooks = mHooks;
+  session->mPrivate->mOnClosed = [self = weak_from_this(),
+                                  raw = std::weak_ptr(session)] {
+    const auto listener = self.lock();
+    if (listener) {
+      listener->mSessions.erase(raw.lock());
+    }
+  };
+  mSessions.insert(session);
+  session->mPrivate->WaitForRequest(session);
+}
+
+Listener::Listener(asio::io_context& aLoop,
+                   const std::string& aAddress,
+                   ListenerHooks aHooks)
+  : mPrivate(std::make_shared<Private>(aLoop, std::move(aHooks)))
+{
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    throw boost::system::system_error(
+      make_error_code(boost::system::errc::invalid_argument), aAddress);
+  }
+  mPrivate->mAcceptor.open(endpoint->protocol());
+  mPrivate->mAcceptor.set_option(asio::socket_base::reuse_address(true));
+  mPrivate->mAcceptor.bind(*endpoint);
+  mPrivate->mAcceptor.listen(kAcceptQueue);
+  mPrivate->Accept();
+}
+
+Listener::~Listener()
+{
+  Close();
+}
+
+std::string Listener::Address() const
+{
+  std::ostringstream text;
+  text << mPrivate->mAcceptor.local_endpoint();
+  return text.str();
+}
+
+void Listener::Close()
+{
+  error_code ignored; // NOTE: Nothing more is accepted either way.
+  mPrivate->mTimer.cancel(ignored);
+  mPrivate->mAcceptor.close(ignored);
+}
+
+void Listener::CloseIdle()
+{
+  const auto sessions = mPrivate->mSessions;
+  for (const auto& session : sessions) {
+    // NOTE: A request that has arrived is served, even if it was not read yet.
+    error_code failure;
+    const bool isIdle =
+      session->mPrivate->mPhase == ClientSession::Private::Phase::Idle &&
+      session->mPrivate->mSocket.available(failure) == 0;
+    if (isIdle) {
+      session->mPrivate->Close();
+    }
+  }
+}
+
+bool Listener::IsBusy() const
+{
+  return std::any_of(mPrivate->mSessions.begin(),
+                     mPrivate->mSessions.end(),
+                     [](const auto& aSession) {
+                       return aSession->mPrivate->mPhase !=
+                              ClientSession::Private::Phase::Idle;
+                     });
+}
+
+void Listener::BreakAll()
+{
+  const auto sessions = mPrivate->mSessions;
+  for (const auto& session : sessions) {
+    session->mPrivate->Close();
+  }
+}
+
+} // namespace Acaciavale::Relay
