Let sessions probe a new version in the second half only

A VM cannot know the sessions of the others. What kept sessions on a VM's side is needless and removed, as is the setting for it. Tests: the session's side through the first half, good and bad versions with and without sessions, within the exposure allowed.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -167,24 +167,6 @@
   }
 }
 
-/// A session stays on the side that it is on until the shift.
-VersionSide Exchange::FirstSide(const std::optional<Course>& aCourse) const
-{
-  const bool mayStay = aCourse && aCourse->mStage == CourseStage::Probe &&
-                       !mRequest.mSession.empty();
-  const auto last =
-    mayStay ? mState->mSessions.IsOnTarget(mPool,
-                                           mRequest.mSession,
-                                           mState->mOptions.mSessionTime +
-                                             (mDeadline - mArrived),
-                                           MonotonicNow())
-            : std::nullopt;
-  if (last) {
-    return *last ? VersionSide::Target : VersionSide::NotTarget;
-  }
-  return SideOf(aCourse, mSideDraw);
-}
-
 Place Exchange::FindPlace()
 {
   const std::optional<Course> course = mState->CourseOf(mPool);
@@ -213,7 +195,9 @@
                                                   mState->mLiveVms)));
   }
   Place place;
-  for (const VersionSide side : { FirstSide(course), FallbackSide(course) }) {
+  const VersionSide first =
+    SideOf(course, !mRequest.mSession.empty(), mSideDraw);
+  for (const VersionSide side : { first, FallbackSide(course) }) {
     query.mMayTake = [side, &course](const std::string& aVersion) {
       return MayTake(side, course, aVersion);
     };
@@ -307,15 +291,6 @@
   mTried.push_back(send.mEndpoint.get());
   mTriedOwners.push_back(send.mEndpoint);
   mState->mBook.RecordSend(*send.mEndpoint, send.mWork, now);
-  if (!mRequest.mSession.empty()) {
-    const std::optional<Course> course = mState->CourseOf(mPool);
-    mState->mSessions.Record(
-      mPool,
-      mRequest.mSession,
-      course && send.mEndpoint->mRecord.mVersion == course->mOrder.mTarget,
-      mState->mOptions.mSessionTime + (mDeadline - mArrived),
-      now);
-  }
 
   SendTerms terms;
   terms.mTimeLeft = mDeadline - now;
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -71,7 +71,6 @@
   SendWork WorkFor(std::size_t aModel) const;
   void Dispatch();
   bool TryDispatch();
-  VersionSide FirstSide(const std::optional<Course>& aCourse) const;
   Place FindPlace();
   void StandInLine();
   void SendTo(const Place& aPlace);
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -13,37 +13,9 @@
 
 /// Weight of the newest gap between two starts in the smoothed pace.
 constexpr double kPaceWeight = 0.1;
-/// Sessions above which those that ended are forgotten; a VM serves some tens
-/// a second.
-constexpr std::size_t kMostSessions = 1024;
 
 } // namespace
 
-std::optional<bool> SessionSides::IsOnTarget(const std::string& aPool,
-                                             const std::string& aSession,
-                                             Duration aWithin,
-                                             TimePoint aNow) const
-{
-  const auto found = mLast.find({ aPool, aSession });
-  const bool isFresh =
-    found != mLast.end() && aNow - found->second.mAt < aWithin;
-  return isFresh ? std::optional(found->second.mIsOnTarget) : std::nullopt;
-}
-
-void SessionSides::Record(const std::string& aPool,
-                          const std::string& aSession,
-                          bool aIsOnTarget,
-                          Duration aWithin,
-                          TimePoint aNow)
-{
-  if (mLast.size() >= kMostSessions) {
-    std::erase_if(mLast, [&](const auto& aLast) {
-      return aNow - aLast.second.mAt >= aWithin;
-    });
-  }
-  mLast[{ aPool, aSession }] = { aIsOnTarget, aNow };
-}
-
 bool RelayState::KnowsKeys() const
 {
   return mSettings && SuspendAwareNow() - mAskedAt < mOptions.mKeyProof;
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -13,31 +13,6 @@
 
 class Exchange;
 
-/// The sides of a roll-out that sessions were on lately, as far as this VM
-/// served them.
-class SessionSides
-{
-public:
-  /// The side of the session's last request within the time given.
-  std::optional<bool> IsOnTarget(const std::string& aPool,
-                                 const std::string& aSession,
-                                 Duration aWithin,
-                                 TimePoint aNow) const;
-  void Record(const std::string& aPool,
-              const std::string& aSession,
-              bool aIsOnTarget,
-              Duration aWithin,
-              TimePoint aNow);
-
-private:
-  struct Last
-  {
-    bool mIsOnTarget = false;
-    TimePoint mAt{};
-  };
-  std::map<std::pair<std::string, std::string>, Last> mLast;
-};
-
 /// A pool's waiting work and how fast it has been starting.
 struct PoolLine
 {
@@ -68,9 +43,8 @@
   EndpointBook mBook;
   std::map<std::string, Course> mCourses;
   std::map<std::string, CourseEvidence> mEvidence; ///< By pool.
-  SessionSides mSessions;
-  std::map<std::string, RetryBudget> mBudgets;    ///< By pool.
-  std::map<std::string, RetryBudget> mImpatience; ///< By pool.
+  std::map<std::string, RetryBudget> mBudgets;     ///< By pool.
+  std::map<std::string, RetryBudget> mImpatience;  ///< By pool.
   std::map<std::string, PoolLine> mLines;
   std::int64_t mLiveVms = 1;
   TimePoint mAskedAt{};
--- a/Libraries/LibRelay/RolloutCourse.cpp
+++ b/Libraries/LibRelay/RolloutCourse.cpp
@@ -6,17 +6,12 @@
 
 namespace {
 
-/// Share of sessions that probe a new version. A session that is open when the
-/// probe begins and goes on at a VM that has not seen it crosses over, which is
-/// a fault: with some tens of sessions a second, one in all does at these
-/// shares. A few answers a second are enough to see a bad version.
-constexpr double kProbeShare = 0.025;
-constexpr double kLargeFleetProbeShare = 0.004;
-constexpr std::int64_t kLargeFleetVms = 30;
-/// Beyond a session's time before the probe: readings of the store are that far
-/// apart.
-constexpr Duration kOrderSpread = std::chrono::seconds(1);
-/// Share of the step between the probe and all of the traffic.
+/// Share of requests without a session that probe a new version. Deployments
+/// let a bad version have 0.12 of a pool's requests or more; repeats and the
+/// requests until a revert reaches all VMs come on top of this.
+constexpr double kProbeShare = 0.08;
+/// Share of all requests between the probe and all of the traffic: some tens of
+/// answers until the judge has to decide.
 constexpr double kStepShare = 0.35;
 /// Parts of the order's duration. Sessions may not change sides before its
 /// first half is over. The shift leaves the longest usual streams the time to
@@ -64,29 +59,27 @@
 
 } // namespace
 
-double ProbeShareAt(const CourseOrder& aOrder,
-                    Duration aElapsed,
-                    Duration aSessionTime,
-                    std::int64_t aVms)
+Course WithShares(Course aCourse, Duration aElapsed)
 {
-  if (PartOf(aOrder, aElapsed) >= kStepAt) {
-    return kStepShare;
-  }
-  if (aElapsed < aSessionTime + kOrderSpread) {
-    return 0;
-  }
-  return aVms >= kLargeFleetVms ? kLargeFleetProbeShare : kProbeShare;
+  const bool isSecondHalf = PartOf(aCourse.mOrder, aElapsed) >= kStepAt;
+  aCourse.mProbeShare = isSecondHalf ? kStepShare : kProbeShare;
+  aCourse.mSessionShare = isSecondHalf ? kStepShare : 0;
+  return aCourse;
 }
 
-VersionSide SideOf(const std::optional<Course>& aCourse, double aDraw)
+VersionSide SideOf(const std::optional<Course>& aCourse,
+                   bool aHasSession,
+                   double aDraw)
 {
   if (!aCourse) {
     return VersionSide::Any;
   }
   switch (aCourse->mStage) {
     case CourseStage::Probe:
-      return aDraw < aCourse->mProbeShare ? VersionSide::Target
-                                          : VersionSide::NotTarget;
+      return aDraw <
+                 (aHasSession ? aCourse->mSessionShare : aCourse->mProbeShare)
+               ? VersionSide::Target
+               : VersionSide::NotTarget;
     case CourseStage::Shift:
     case CourseStage::Completed:
       return VersionSide::Target;
--- a/Tests/LibRelay/TestRolloutCourse.cpp
+++ b/Tests/LibRelay/TestRolloutCourse.cpp
@@ -9,9 +9,9 @@
 
 TEST_GROUP(RolloutCourse)
 {
-  Course mCourse{ { "pool", "v2", std::chrono::seconds(24), 7 },
-                  CourseStage::Probe,
-                  0.1 };
+  Course mCourse{
+    { "pool", "v2", std::chrono::seconds(24), 7 }, CourseStage::Probe, 0, 0
+  };
 
   static EvidenceCell Cell(double aAnswers, double aErrors, double aSeconds)
   {
@@ -36,16 +36,16 @@
               double aNewErrors,
               double aNewSlowness,
               double aTurnsBadAt,
-              std::uint64_t aSeed)
+              std::uint64_t aSeed,
+              bool aHasSessions = true)
   {
     Random random(aSeed);
     Played played;
     CourseEvidence evidence;
     RolloutWatch watch;
     for (double now = 0; now < 24; now += 1.0 / 47) {
-      mCourse.mProbeShare = ProbeShareAt(
-        mCourse.mOrder, FromSeconds(now), std::chrono::seconds(5), 8);
-      const VersionSide side = SideOf(mCourse, random.Unit());
+      mCourse = WithShares(mCourse, FromSeconds(now));
+      const VersionSide side = SideOf(mCourse, aHasSessions, random.Unit());
       played.mAll += 1;
       const bool isNew = side == VersionSide::Target;
       played.mExposed += isNew ? 1 : 0;
@@ -86,6 +86,11 @@
     const Played played = Play(0.02, 0.4, 1, 0, seed);
     CHECK(played.mStage == CourseStage::Reverted);
     CHECK(played.mExposed <= 0.12 * played.mAll + 30);
+    mCourse.mStage = CourseStage::Probe;
+    const Played plain = Play(0.02, 0.4, 1, 0, seed, false);
+    CHECK(plain.mStage == CourseStage::Reverted);
+    CHECK(plain.mExposed <= 0.12 * plain.mAll + 30);
+    CHECK(plain.mEnd < 12);
   }
 }
 
@@ -124,24 +129,23 @@
 
 TEST(RolloutCourse, ASessionStaysOnItsSideThroughTheFirstHalf)
 {
-  CHECK(SideOf(mCourse, 0.01) == VersionSide::Target);
-  CHECK(SideOf(mCourse, 0.5) == VersionSide::NotTarget);
+  const auto sideAt = [this](int aSeconds, bool aHasSession, double aDraw) {
+    return SideOf(
+      WithShares(mCourse, std::chrono::seconds(aSeconds)), aHasSession, aDraw);
+  };
+  // However long it has been open, and whichever VM it goes on at.
+  for (int seconds = 0; seconds <= 12; ++seconds) {
+    CHECK(sideAt(seconds, true, 0) == VersionSide::NotTarget);
+    CHECK(sideAt(seconds, false, 0) == VersionSide::Target);
+    CHECK(sideAt(seconds, false, 0.5) == VersionSide::NotTarget);
+  }
+  CHECK(sideAt(13, true, 0.1) == VersionSide::Target);
+  CHECK(sideAt(13, true, 0.5) == VersionSide::NotTarget);
   const CourseEvidence good{ Cell(400, 2, 0.2), Cell(60, 0, 0.2) };
   CHECK(DecideStage(mCourse, good, {}, std::chrono::seconds(11)).mStage ==
         CourseStage::Probe);
   CHECK(DecideStage(mCourse, good, {}, std::chrono::seconds(15)).mStage ==
         CourseStage::Shift);
-  const auto shareAt = [this](int aSeconds, std::int64_t aVms) {
-    return ProbeShareAt(mCourse.mOrder,
-                        std::chrono::seconds(aSeconds),
-                        std::chrono::seconds(5),
-                        aVms);
-  };
-  // Sessions that were open at the order have ended or are known by then.
-  DOUBLES_EQUAL(0, shareAt(5, 8), 1e-9);
-  CHECK(shareAt(7, 8) > 0);
-  CHECK(shareAt(7, 80) < shareAt(7, 8));
-  CHECK(shareAt(13, 8) > shareAt(11, 8));
 }
 
 TEST(RolloutCourse, AThinProbePassesOnlyWithoutFailures)
@@ -161,5 +165,5 @@
   CHECK(MayTake(FallbackSide(mCourse), mCourse, "v1"));
   mCourse.mStage = CourseStage::Shift;
   CHECK(MayTake(FallbackSide(mCourse), mCourse, "v1"));
-  CHECK(MayTake(SideOf(std::nullopt, 0.5), std::nullopt, "v1"));
+  CHECK(MayTake(SideOf(std::nullopt, true, 0.5), std::nullopt, "v1"));
 }
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -27,8 +27,6 @@
   /// been the newest this long ago or later.
   Duration mKeyProof = std::chrono::seconds(5);
   RetryBudgetTerms mRetryBudget;
-  /// Requests of a session follow each other within this time.
-  Duration mSessionTime = std::chrono::seconds(5);
   /// What a send out of this VM's failure domain costs, as time: the bytes of
   /// a request between domains are priced like some tenths of an engine's
   /// second (docs/measurements/platform-days.md).
--- a/include/Acaciavale/LibRelay/RolloutCourse.h
+++ b/include/Acaciavale/LibRelay/RolloutCourse.h
@@ -34,7 +34,8 @@
 {
   CourseOrder mOrder;
   CourseStage mStage = CourseStage::Probe;
-  double mProbeShare = 0; ///< Of sessions that go to the new version now.
+  double mProbeShare = 0;   ///< Of requests that go to the new version now.
+  double mSessionShare = 0; ///< Of sessions.
 
   auto operator<=>(const Course&) const = default;
 };
@@ -46,18 +47,17 @@
   NotTarget,
 };
 
-/// The share of sessions that probe the new version. None at first: sessions
-/// that were open at the order stay on their version, and end or are known
-/// within the time in which a session's requests follow each other. Some more
-/// when sessions may change sides, so that all the traffic comes in steps.
-double ProbeShareAt(const CourseOrder& aOrder,
-                    Duration aElapsed,
-                    Duration aSessionTime,
-                    std::int64_t aVms);
+/// The course with the shares that probe the new version at the time given.
+/// Requests without a session do from the start. Sessions may change their
+/// version only in the second half, and a session that is open goes on at any
+/// VM; so none probes before it, then a step of them does.
+Course WithShares(Course aCourse, Duration aElapsed);
 
 /// Which side a request goes to. The draw, in [0, 1), is the session's or the
 /// request's own, the same on all VMs, so that a session stays on its side.
-VersionSide SideOf(const std::optional<Course>& aCourse, double aDraw);
+VersionSide SideOf(const std::optional<Course>& aCourse,
+                   bool aHasSession,
+                   double aDraw);
 
 /// The side to take where the first one has no endpoint.
 VersionSide FallbackSide(const std::optional<Course>& aCourse);
