--- a/Libraries/LibAdmission/AdmissionControl.cpp
+++ b/Libraries/LibAdmission/AdmissionControl.cpp
@@ -44,7 +44,7 @@
   std::map<std::string, AccountState> mAccounts;
 };
 
-Duration FromSeconds(double aSeconds)
+Duration BoundedRetry(double aSeconds)
 {
   const double bounded =
     std::clamp(aSeconds,
@@ -112,14 +112,14 @@
     const AdmissionVerdict verdict = waiting > 0
                                        ? AdmissionVerdict::Overloaded
                                        : AdmissionVerdict::DeadlineTooShort;
-    return { verdict, FromSeconds(load.mSecondsPerRequest * waiting) };
+    return { verdict, BoundedRetry(load.mSecondsPerRequest * waiting) };
   }
   const double excess = fill - MaxFill(aQuery.mPriority);
   if (excess < 0) {
     return {};
   }
   return { AdmissionVerdict::Overloaded,
-           FromSeconds(load.mSecondsPerRequest * excess) };
+           BoundedRetry(load.mSecondsPerRequest * excess) };
 }
 
 } // namespace
@@ -165,12 +165,12 @@
   if (static_cast<double>(state.mInFlight + 1) >
       PartOf(limits.mMaxInFlight, share)) {
     return { AdmissionVerdict::OverInFlight,
-             FromSeconds(aQuery.mLoad.mSecondsPerRequest) };
+             BoundedRetry(aQuery.mLoad.mSecondsPerRequest) };
   }
   if (state.mTokens < 1) {
     const double rate = limits.mRequestsPerSecond * share;
     return { AdmissionVerdict::OverRate,
-             rate > 0 ? FromSeconds((1 - state.mTokens) / rate)
+             rate > 0 ? BoundedRetry((1 - state.mTokens) / rate)
                       : kLongestRetry };
   }
   state.mTokens -= 1;
--- a/Libraries/LibRouting/CandidateScore.cpp
+++ b/Libraries/LibRouting/CandidateScore.cpp
@@ -46,7 +46,7 @@
   return found == aEvidence.end() ? EvidenceCell{} : found->second;
 }
 
-Duration FromSeconds(double aSeconds)
+Duration RoundedSeconds(double aSeconds)
 {
   return Duration(
     static_cast<Duration::rep>(std::llround(aSeconds * 1'000'000'000.0)));
@@ -64,7 +64,7 @@
   const double measured = std::max(0.0, aCell.mAnswers - aCell.mErrors);
   const double sum = aCell.mFirstTokenSeconds +
                      ToSeconds(aVersion.mFirstToken) * kPriorLatencyAnswers;
-  return FromSeconds(sum / (measured + kPriorLatencyAnswers)) +
+  return RoundedSeconds(sum / (measured + kPriorLatencyAnswers)) +
          aVersion.mPerToken * aOutputTokens;
 }
 
@@ -155,7 +155,7 @@
     reached *= escalation;
   }
   aCandidate.mExpectedCost = Money{ std::llround(std::ceil(cost)) };
-  aCandidate.mExpectedLatency = FromSeconds(latency);
+  aCandidate.mExpectedLatency = RoundedSeconds(latency);
   SetQuality(aCandidate,
              RatedShare{ aCell.mGood + mean * priorRatings,
                          aCell.mRated + priorRatings },
