Drop a list of endpoints that the sends hold already

Cause: read-through; each send owns its endpoint for as long as its request lives, so mTriedOwners kept nothing alive that was not. No behaviour changes.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -289,7 +289,6 @@
   send.mWork = WorkFor(mModel);
   send.mStarted = now;
   mTried.push_back(send.mEndpoint.get());
-  mTriedOwners.push_back(send.mEndpoint);
   mState->mBook.RecordSend(*send.mEndpoint, send.mWork, now);
 
   SendTerms terms;
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -115,7 +115,6 @@
   boost::asio::steady_timer mLineTimer;
   std::list<Send> mSends;
   std::vector<const Endpoint*> mTried;
-  std::vector<std::shared_ptr<Endpoint>> mTriedOwners;
   std::int64_t mNotConnected = 0; ///< Sends of which nothing arrived.
   bool mMayHaveRun = false;
   bool mIsOver = false;
