Call a store that fails less often, and ask other VMs meanwhile

A VM that the store rejects called it every 0.3 s, for its reading and for its lease, although other VMs had a fresh reading; a VM that starts read twice, since it was not in its own first reading.

--- a/Libraries/LibRelay/Readers.cpp
+++ b/Libraries/LibRelay/Readers.cpp
@@ -15,11 +15,15 @@
 constexpr std::size_t kVmsThatPassLoadsOn = 30;
 /// Pauses as shares of the bound on a change. Their sum is the longest way of a
 /// change; the oldest reading leaves time to read the store instead.
-constexpr double kReaderShare = 0.25;
-constexpr double kOtherShare = 0.3;
-constexpr double kOldestShare = 0.4;
+constexpr double kReaderShare = 0.3;
+constexpr double kOtherShare = 0.28;
+constexpr double kOldestShare = 0.44;
 /// Where bounds are wide, keys still have to be proven.
 constexpr Duration kWidestBound = std::chrono::seconds(4);
+/// The first pause is a tenth of the store's usual outages of some seconds; the
+/// longest is half of the two seconds in which lost entries are back.
+constexpr Duration kFirstRetryPause = std::chrono::milliseconds(300);
+constexpr Duration kLongestRetryPause = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -40,15 +44,35 @@
 
 std::optional<std::string> ReaderFor(const std::vector<std::string>& aSortedVms,
                                      const std::string& aSelf,
-                                     std::size_t aAttempt)
+                                     std::size_t aAttempt,
+                                     bool aMayRead)
 {
-  if (IsReader(aSortedVms, aSelf)) {
+  if (aMayRead && IsReader(aSortedVms, aSelf)) {
     return std::nullopt;
   }
-  const auto rank = static_cast<std::size_t>(
-    std::lower_bound(aSortedVms.begin(), aSortedVms.end(), aSelf) -
-    aSortedVms.begin());
-  return aSortedVms[(rank + aAttempt) % ReaderCount(aSortedVms.size())];
+  const auto self =
+    std::lower_bound(aSortedVms.begin(), aSortedVms.end(), aSelf);
+  const auto rank = static_cast<std::size_t>(self - aSortedVms.begin());
+  const std::size_t readers =
+    std::min(ReaderCount(aSortedVms.size()), aSortedVms.size());
+  for (std::size_t step = 0; step < readers; ++step) {
+    const std::string& reader = aSortedVms[(rank + aAttempt + step) % readers];
+    if (reader != aSelf) {
+      return reader;
+    }
+  }
+  return std::nullopt;
+}
+
+Duration RetryPause(std::size_t aFailures)
+{
+  Duration pause = kFirstRetryPause;
+  for (std::size_t failure = 1;
+       failure < aFailures && pause < kLongestRetryPause;
+       ++failure) {
+    pause *= 2;
+  }
+  return std::min(pause, kLongestRetryPause);
 }
 
 bool PassesLoadsOn(std::size_t aVms)
--- a/Tests/LibRelay/TestReaders.cpp
+++ b/Tests/LibRelay/TestReaders.cpp
@@ -59,3 +59,33 @@
   CHECK(pauses.mOldest + pauses.mOfOthers < bound * 3 / 4);
   CHECK(pauses.mOldest > pauses.mOfReaders);
 }
+
+TEST(Readers, AReaderThatIsCutOffFromTheStoreAsksAnotherOne)
+{
+  const auto vms = Vms(40);
+  const std::size_t readers = ReaderCount(vms.size());
+  for (std::size_t self = 0; self < readers; ++self) {
+    CHECK_FALSE(ReaderFor(vms, vms[self], 0).has_value());
+    for (std::size_t attempt = 0; attempt < 4; ++attempt) {
+      const auto other = ReaderFor(vms, vms[self], attempt, false);
+      CHECK(other.has_value());
+      CHECK(*other != vms[self]);
+      CHECK(IsReader(vms, *other));
+    }
+  }
+  CHECK_FALSE(ReaderFor(Vms(1), Vms(1).front(), 0, false).has_value());
+  CHECK_FALSE(ReaderFor({}, "vm", 0, false).has_value());
+}
+
+TEST(Readers, AStoreThatFailsIsCalledLessAndLess)
+{
+  Duration sum{};
+  for (std::size_t failures = 1; failures <= 10; ++failures) {
+    CHECK(RetryPause(failures) >= RetryPause(failures - 1));
+    sum += RetryPause(failures);
+  }
+  // Ten calls of a VM that is cut off for nine seconds, where a fixed pause of
+  // the first length would make thirty; and it is back within two seconds.
+  CHECK(sum > std::chrono::milliseconds(8500));
+  CHECK(RetryPause(100) <= std::chrono::seconds(1));
+}
--- a/include/Acaciavale/LibRelay/Readers.h
+++ b/include/Acaciavale/LibRelay/Readers.h
@@ -23,10 +23,16 @@
               const std::string& aSelf);
 
 /// Whom to ask: readers take the others in turn. A higher attempt asks another
-/// one, where the one before did not answer.
+/// one, where the one before did not answer. A reader asks another one while it
+/// may not read itself; nothing where there is none to ask.
 std::optional<std::string> ReaderFor(const std::vector<std::string>& aSortedVms,
                                      const std::string& aSelf,
-                                     std::size_t aAttempt);
+                                     std::size_t aAttempt,
+                                     bool aMayRead = true);
+
+/// Pause before the store is called again after this many calls in a row that
+/// failed. Calls that it refuses are priced too, and add to its load.
+Duration RetryPause(std::size_t aFailures);
 
 /// Whether VMs tell each other what endpoints told them of their loads. In a
 /// small fleet each VM hears of every endpoint itself every few seconds.
