Expect times to the first event by a line over prompt lengths

Cause: a pool's pace was the mean of seconds a token, which short prompts dominate: their wait was charged to each token of long ones. Change: PromptPace, a line through times and lengths with old ones forgotten, in the place of the mean ratio; placing and the choice of models take it from there.

--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -10,9 +10,7 @@
 
 namespace {
 
-/// Weight of one more measurement in the pace of a pool, and in the slowness
-/// of one endpoint, which has fewer of them.
-constexpr double kPaceWeight = 0.05;
+/// Weight of one more measurement in the slowness of an endpoint.
 constexpr double kSlownessWeight = 0.2;
 constexpr double kStrainWeight = 0.05;
 /// The quick pace is the first quartile of what is seen: a step up for each
@@ -28,10 +26,6 @@
 constexpr double kOptimism = 0.1;
 constexpr double kLeastSlowness = 0.25;
 constexpr double kMostSlowness = 16;
-/// Engines read a prompt faster than this only if told otherwise; until the
-/// first measurement (seconds a token, from the engines' published rates).
-constexpr double kFirstSecondsPerToken = 0.00003;
-constexpr double kFirstSecondsPerAnswer = 0.03;
 /// How many times longer an engine whose slots are all taken needs for the next
 /// prompt, beyond the first time: its batch reads prompts in turns. Trials at
 /// 1, 3 and 6 are in docs/measurements/platform-days.md.
@@ -105,27 +99,27 @@
   return endpoints;
 }
 
+PoolPace EndpointBook::PaceOf(const std::string& aPool,
+                              const SendWork& aWork) const
+{
+  const auto found = mPaces.find({ aPool, aWork.mModel });
+  return found == mPaces.end() ? PoolPace{} : found->second;
+}
+
 double EndpointBook::UsualSeconds(const std::string& aPool,
                                   const SendWork& aWork) const
 {
-  const auto found = mPaces.find({ aPool, aWork.mModel });
-  const bool known = found != mPaces.end();
-  if (aWork.mPromptTokens > 0) {
-    const double perToken =
-      known ? found->second.mSecondsPerToken : kFirstSecondsPerToken;
-    return perToken * static_cast<double>(aWork.mPromptTokens);
-  }
-  return known ? found->second.mSecondsPerAnswer : kFirstSecondsPerAnswer;
+  return SecondsToFirst(PaceOf(aPool, aWork).mPrompts,
+                        static_cast<double>(aWork.mPromptTokens));
 }
 
 double EndpointBook::QuickSeconds(const std::string& aPool,
                                   const SendWork& aWork) const
 {
-  const auto found = mPaces.find({ aPool, aWork.mModel });
-  const double perToken =
-    found == mPaces.end() || found->second.mQuickPerToken == 0
-      ? kFirstSecondsPerToken
-      : found->second.mQuickPerToken;
+  const PoolPace pace = PaceOf(aPool, aWork);
+  const double perToken = pace.mQuickPerToken > 0
+                            ? pace.mQuickPerToken
+                            : SecondsPerToken(pace.mPrompts);
   return perToken * static_cast<double>(aWork.mPromptTokens);
 }
 
@@ -148,9 +142,7 @@
   const std::vector<std::shared_ptr<Endpoint>> all = EndpointsOf(aQuery.mPool);
   const double usual = UsualSeconds(aQuery.mPool, aQuery.mWork);
   const double perToken =
-    aQuery.mWork.mPromptTokens > 0
-      ? usual / static_cast<double>(aQuery.mWork.mPromptTokens)
-      : 0;
+    SecondsPerToken(PaceOf(aQuery.mPool, aQuery.mWork).mPrompts);
   std::vector<EndpointView> views;
   std::uint32_t full = 0;
   std::uint32_t usable = 0;
@@ -261,13 +253,11 @@
     aEndpoint.mSlownessAt = aNow;
   }
   PoolPace& pace = mPaces[{ aEndpoint.mRecord.mPool, aWork.mModel }];
-  const bool isFirst = pace.mSecondsPerAnswer == 0;
-  const double weight = isFirst ? 1 : kPaceWeight;
-  pace.mSecondsPerAnswer += weight * (aSeconds - pace.mSecondsPerAnswer);
+  pace.mPrompts = WithMeasured(
+    pace.mPrompts, static_cast<double>(aWork.mPromptTokens), aSeconds);
   if (aWork.mPromptTokens > 0) {
     const double perToken = aSeconds / static_cast<double>(aWork.mPromptTokens);
-    pace.mSecondsPerToken += weight * (perToken - pace.mSecondsPerToken);
-    if (isFirst) {
+    if (pace.mQuickPerToken == 0) {
       pace.mQuickPerToken = perToken;
     }
     pace.mQuickPerToken *= perToken > pace.mQuickPerToken
--- a/include/Acaciavale/LibRelay/EndpointBook.h
+++ b/include/Acaciavale/LibRelay/EndpointBook.h
@@ -3,6 +3,7 @@
 #include <Acaciavale/LibCore/Random.h>
 #include <Acaciavale/LibCore/Time.h>
 #include <Acaciavale/LibRelay/CallerRequest.h>
+#include <Acaciavale/LibRelay/PromptPace.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
 #include <Acaciavale/LibRouting/EndpointHealth.h>
 
@@ -49,9 +50,8 @@
 /// How long work takes in a pool, smoothed over what this VM saw.
 struct PoolPace
 {
-  double mSecondsPerAnswer = 0; ///< To the answer or first event.
-  double mSecondsPerToken = 0;  ///< Of a prompt, until the first event.
-  double mQuickPerToken = 0;    ///< The same where little else runs.
+  PromptPace mPrompts;
+  double mQuickPerToken = 0; ///< Seconds a token where little else runs.
 
   auto operator<=>(const PoolPace&) const = default;
 };
@@ -159,6 +159,8 @@
   void RecordStrain(const std::string& aPool, double aShareOfGoal);
 
 private:
+  /// The pace of the work's model; that of none where nothing is known.
+  PoolPace PaceOf(const std::string& aPool, const SendWork& aWork) const;
   void Eject(const std::string& aPool, TimePoint aNow);
 
   std::map<std::string, std::shared_ptr<Endpoint>> mEndpoints;
