Count the prompts that wait at an engine, as it told, as its backlog

Cause: engines tell how many prompts wait; these only raised the share of slots that are taken, by 8 % for each of 48 slots, although each waiting prompt delays the next one by the whole of its own time. Change: others' waiting prompts, less this VM's own and less with the report's age, count with the usual time to a first event each.

--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -32,6 +32,9 @@
 constexpr double kBusyCost = 4;
 /// Age at which a report of a load counts half: about as long as requests run.
 constexpr double kReportSeconds = 4;
+/// The same for the prompts that a report says are waiting: they are read, and
+/// followed by others, about once a second.
+constexpr double kWaitingReportSeconds = 1;
 /// How long an engine is taken to keep a shared part that it read: the time
 /// for which the deployments count one as kept, in seconds.
 constexpr double kPartKeptSeconds = 9;
@@ -141,8 +144,10 @@
 {
   const std::vector<std::shared_ptr<Endpoint>> all = EndpointsOf(aQuery.mPool);
   const double usual = UsualSeconds(aQuery.mPool, aQuery.mWork);
-  const double perToken =
-    SecondsPerToken(PaceOf(aQuery.mPool, aQuery.mWork).mPrompts);
+  const PromptPace pace = PaceOf(aQuery.mPool, aQuery.mWork).mPrompts;
+  const double perToken = SecondsPerToken(pace);
+  // NOTE: Others' prompts are of unknown length: each is taken for a usual one.
+  const double perWaiting = aQuery.mWork.mPromptTokens > 0 ? pace.mSeconds : 0;
   std::vector<EndpointView> views;
   std::uint32_t full = 0;
   std::uint32_t usable = 0;
@@ -178,8 +183,13 @@
     const double busy = std::max(static_cast<double>(view.mOwnInFlight),
                                  fresh * view.mReportedInFlight) /
                         view.mSlots;
+    const std::int32_t othersWaiting =
+      std::max(0, endpoint.mLoad.mWaiting - endpoint.mWaitingSendsAtLoad);
+    const double stillWaiting =
+      othersWaiting / (1 + InSeconds(view.mReportAge) / kWaitingReportSeconds);
     const double backlog =
-      perToken * static_cast<double>(endpoint.mWaitingTokens);
+      perToken * static_cast<double>(endpoint.mWaitingTokens) +
+      perWaiting * stillWaiting;
     view.mSecondsPerRequest =
       SlownessAt(endpoint, aNow) * (usual + backlog) * (1 + kBusyCost * busy);
     view.mTurnoverSeconds = SecondsOf(endpoint.mTurnover);
@@ -228,6 +238,7 @@
 {
   aEndpoint.mInFlight += 1;
   aEndpoint.mWaitingTokens += aWork.mPromptTokens;
+  aEndpoint.mWaitingSends += 1;
   if (aWork.mSharedHash != 0) {
     aEndpoint.mSharedParts[aWork.mSharedHash] = aNow;
     if (aEndpoint.mSharedParts.size() > kMostPartsKept) {
@@ -244,6 +255,7 @@
                                     TimePoint aNow)
 {
   aEndpoint.mWaitingTokens -= aWork.mPromptTokens;
+  aEndpoint.mWaitingSends -= 1;
   const double usual = UsualSeconds(aEndpoint.mRecord.mPool, aWork);
   if (usual > 0) {
     const double ratio =
@@ -273,6 +285,7 @@
   aEndpoint.mLoad = aLoad;
   aEndpoint.mLoadAt = aNow;
   aEndpoint.mInFlightAtLoad = aEndpoint.mInFlight;
+  aEndpoint.mWaitingSendsAtLoad = aEndpoint.mWaitingSends;
 }
 
 std::vector<LoadReport> EndpointBook::LoadsWithin(Duration aAge,
@@ -309,6 +322,7 @@
   aEndpoint.mInFlight -= 1;
   if (!aHadFirstEvent) {
     aEndpoint.mWaitingTokens -= aWork.mPromptTokens;
+    aEndpoint.mWaitingSends -= 1;
   }
   if (!aOutcome.mCounts) {
     return;
--- a/Tests/LibRelay/TestEndpointBook.cpp
+++ b/Tests/LibRelay/TestEndpointBook.cpp
@@ -116,6 +116,45 @@
 
 /// The load pattern: prompts that share long parts. All VMs send the same part
 /// to the same engine, so that it is read once.
+TEST(EndpointBook, APromptGoesWhereFewerPromptsWait)
+{
+  // Both engines have as many requests; at one of them all run, at the other
+  // long prompts stand before the next one.
+  mBook.Replace({ Record("runs"), Record("waits") });
+  mQuery.mWork.mPromptTokens = 1000;
+  for (const auto& endpoint : mBook.EndpointsOf("pool")) {
+    const bool waits = endpoint->mRecord.mId == "waits";
+    mBook.RecordSend(*endpoint, mQuery.mWork, At(0));
+    mBook.RecordFirstEvent(*endpoint, mQuery.mWork, 0.2, At(0));
+    mBook.RecordEnd(*endpoint, mQuery.mWork, true, {}, At(0));
+    mBook.RecordLoad(
+      *endpoint, waits ? ToldLoad{ 1, 4, 8 } : ToldLoad{ 5, 0, 8 }, At(0));
+  }
+  for (int draw = 0; draw < 20; ++draw) {
+    STRCMP_EQUAL("runs", ChooseAt(0.1).c_str());
+  }
+}
+
+TEST(EndpointBook, OwnPromptsThatWaitAreNotCountedTwice)
+{
+  mBook.Replace({ Record("one") });
+  mQuery.mWork.mPromptTokens = 1000;
+  const auto endpoint = mBook.EndpointsOf("pool")[0];
+  for (int send = 0; send < 4; ++send) {
+    mBook.RecordSend(*endpoint, mQuery.mWork, At(0));
+  }
+  mBook.RecordFirstEvent(*endpoint, mQuery.mWork, 0.2, At(0));
+  mBook.RecordEnd(*endpoint, mQuery.mWork, true, {}, At(0));
+  const auto expected = [this] {
+    return mBook.Choose(mQuery, mRandom, At(0)).mExpectedSeconds;
+  };
+  const double before = expected();
+  mBook.RecordLoad(*endpoint, { 0, 3, 8 }, At(0));
+  DOUBLES_EQUAL(before, expected(), 1e-9);
+  mBook.RecordLoad(*endpoint, { 0, 5, 8 }, At(0));
+  CHECK(expected() > before);
+}
+
 TEST(EndpointBook, SharedPartsHaveAHomeThatAllVmsAgreeOn)
 {
   std::vector<EndpointRecord> records;
--- a/include/Acaciavale/LibRelay/EndpointBook.h
+++ b/include/Acaciavale/LibRelay/EndpointBook.h
@@ -62,13 +62,15 @@
   EndpointRecord mRecord;
   bool mGone = false; ///< No longer in the platform's list.
   std::int32_t mInFlight = 0;
-  std::int64_t mWaitingTokens = 0; ///< Sent, without a first event yet.
+  std::int32_t mWaitingSends = 0;  ///< Of these, without a first event yet.
+  std::int64_t mWaitingTokens = 0; ///< In their prompts.
   EndpointHealth mHealth;
   Turnover mTurnover;
   double mSlowness = 1; ///< Against the pool's pace.
   TimePoint mSlownessAt{};
   ToldLoad mLoad;
   std::int32_t mInFlightAtLoad = 0;
+  std::int32_t mWaitingSendsAtLoad = 0;
   TimePoint mLoadAt{};
   /// Shared parts that this VM sent there, and when it last did.
   std::map<std::uint64_t, TimePoint> mSharedParts;
