--- a/Meta/processes.sh
+++ b/Meta/processes.sh
@@ -3,10 +3,14 @@
 WORK="$(mktemp -d)"
 PIDS=()
 
+# Stops the VMs, and once they have ended the stand-ins, which were started
+# first: a VM that stops still needs the store to close its ledger.
 stop_all() {
   local pid
-  for pid in "${PIDS[@]}"; do kill "$pid" 2> /dev/null || true; done
-  for pid in "${PIDS[@]}"; do wait "$pid" 2> /dev/null || true; done
+  for pid in "${PIDS[@]:1}"; do kill "$pid" 2> /dev/null || true; done
+  for pid in "${PIDS[@]:1}"; do wait "$pid" 2> /dev/null || true; done
+  for pid in "${PIDS[@]:0:1}"; do kill "$pid" 2> /dev/null || true; done
+  for pid in "${PIDS[@]:0:1}"; do wait "$pid" 2> /dev/null || true; done
   PIDS=()
 }
 trap 'stop_all; rm -rf "$WORK"' EXIT
