--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -109,9 +109,10 @@
     aSession->Send(Head(200), R"({"ttl-ms":3000})");
   } else if (target.starts_with("/api/kv-lease-end/")) {
     const std::int64_t lease = std::stoll(target.substr(18));
-    std::erase_if(mItems, [lease](const auto& aItem) {
-      return aItem.second.mLease == lease;
-    });
+    mRevision += static_cast<std::int64_t>(
+      std::erase_if(mItems, [lease](const auto& aItem) {
+        return aItem.second.mLease == lease;
+      }));
     aSession->Send(Head(200), "{}");
   } else {
     aSession->Send(Head(400), "{}");
