End and go on serving while nobody reads standard output

Cause: with standard output blocked the thread that writes the log hung in its write; a process that was told to stop then waited for it for ever, and lines that found no room in the queue were dropped without being counted. Change: lines are written only where poll says that they are taken, and given up at the end of the process; lines without room are counted.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -2,17 +2,19 @@
 #include <Acaciavale/LibCore/Time.h>
 
 #include <atomic>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <climits>
 #include <iostream>
+#include <poll.h>
+#include <unistd.h>
 
 namespace Acaciavale {
 
@@ -48,10 +50,12 @@
     if (mTaken.fetch_add(1) < budget) {
       return true;
     }
-    mDropped += 1;
+    NoteDropped();
     return false;
   }
 
+  void NoteDropped() { mDropped += 1; }
+
 private:
   std::atomic<int> mLinesPerSecond{ 0 };
   std::atomic<std::int64_t> mSecond{ 0 };
@@ -156,10 +160,61 @@
 namespace {
 
 namespace sinks = boost::log::sinks;
+
+/// How long one look at a standard output lasts that takes nothing: the end of
+/// a process waits no longer for it.
+constexpr int kWritablePollMs = 50;
+
+/// Drops lines for which there is no room, and counts them.
+struct CountingOverflow : sinks::drop_on_overflow
+{
+  template<typename Lock>
+  static bool on_overflow(const boost::log::record_view&, Lock&)
+  {
+    sBudget.NoteDropped();
+    return false;
+  }
+};
+
+/// Writes lines to standard output, but never waits in a write: whoever should
+/// read it may have stopped, and the process has to be able to end.
+class StandardOutput
+  : public sinks::basic_formatted_sink_backend<char,
+                                               sinks::synchronized_feeding>
+{
+public:
+  void consume(const boost::log::record_view&, const std::string& aLine)
+  {
+    // NOTE: A pipe that takes anything takes PIPE_BUF bytes; a longer write
+    //       could block.
+    std::string line = aLine.substr(0, PIPE_BUF - 1) + '\n';
+    if (!IsWritable() || write(STDOUT_FILENO, line.data(), line.size()) !=
+                           static_cast<ssize_t>(line.size())) {
+      sBudget.NoteDropped();
+    }
+  }
+
+  void GiveUp() { mIsGivenUp = true; }
+
+private:
+  bool IsWritable() const
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    int found = 0;
+    do {
+      found = poll(&output, 1, mIsGivenUp ? 0 : kWritablePollMs);
+    } while (found == 0 && !mIsGivenUp);
+    return found > 0;
+  }
+
+  std::atomic<bool> mIsGivenUp{ false };
+};
+
 using BoundedSink = sinks::asynchronous_sink<
-  sinks::text_ostream_backend,
-  sinks::bounded_fifo_queue<kMostWaitingLines, sinks::drop_on_overflow>>;
+  StandardOutput,
+  sinks::bounded_fifo_queue<kMostWaitingLines, CountingOverflow>>;
 
+boost::shared_ptr<StandardOutput> sStandardOutput;
 boost::shared_ptr<BoundedSink> sBoundedSink;
 
 } // namespace
@@ -170,9 +225,11 @@
     return;
   }
   boost::log::core::get()->remove_sink(sBoundedSink);
+  sStandardOutput->GiveUp();
   sBoundedSink->stop();
   sBoundedSink->flush();
   sBoundedSink.reset();
+  sStandardOutput.reset();
 }
 
 void ConfigureBoundedLog(LogLevel aLeast,
@@ -182,16 +239,12 @@
   sLeastLevel = aLeast;
   sFormat = aFormat;
   sBudget.Set(aLinesPerSecond);
-  const auto backend = boost::make_shared<sinks::text_ostream_backend>();
-  backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
-  const auto sink = boost::make_shared<BoundedSink>(backend);
-  sBoundedSink = sink;
-  sink->set_formatter(boost::log::expressions::stream
-                      << boost::log::expressions::smessage);
+  sStandardOutput = boost::make_shared<StandardOutput>();
+  sBoundedSink = boost::make_shared<BoundedSink>(sStandardOutput);
+  sBoundedSink->set_formatter(boost::log::expressions::stream
+                              << boost::log::expressions::smessage);
   boost::log::core::get()->remove_all_sinks();
-  boost::log::core::get()->add_sink(sink);
+  boost::log::core::get()->add_sink(sBoundedSink);
 }
 
 void Log(LogLevel aLevel,
