Measure the relay's decisions at worst load, against baselines and an oracle

Change: two fakes on a virtual clock, with the relay's own EndpointBook, ModelChoice, WaitLine and ReturnAfter, and new rows in `measure decisions`: long, half-slow, cascade, returns, tenant.

--- a/Benchmarks/DecisionMeasure.cpp
+++ b/Benchmarks/DecisionMeasure.cpp
@@ -17,11 +17,13 @@
 using namespace Acaciavale::DecisionMeasure;
 
 constexpr Row kRows[] = {
-  { "cost", MeasureCost },         { "slow", MeasureSlowReplica },
-  { "rollout", MeasureRollout },   { "urgent", MeasureUrgent },
-  { "accounts", MeasureAccounts }, { "overload", MeasureOverload },
-  { "prefix", MeasurePrefix },     { "domain", MeasureDomain },
-  { "faulty", MeasureFaulty },
+  { "cost", MeasureCost },          { "slow", MeasureSlowReplica },
+  { "rollout", MeasureRollout },    { "urgent", MeasureUrgent },
+  { "accounts", MeasureAccounts },  { "overload", MeasureOverload },
+  { "prefix", MeasurePrefix },      { "domain", MeasureDomain },
+  { "faulty", MeasureFaulty },      { "long", MeasureLongPrompts },
+  { "half-slow", MeasureHalfSlow }, { "cascade", MeasureCascade },
+  { "returns", MeasureReturns },    { "tenant", MeasureTenant },
 };
 
 } // namespace
--- /dev/null
+++ b/Benchmarks/DecisionMeasureParts/EngineRun.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+/// A queueing fake of engines that read prompts one after the other, stepped by
+/// a virtual clock. The VMs place prompts with the relay's own book of
+/// endpoints, or with a baseline; they hear of loads as on the platform.
+namespace Acaciavale::DecisionMeasure {
+
+enum class Placing
+{
+  Ours,
+  RoundRobin,
+  LeastReported, ///< Fewest requests by the last report this VM had.
+  Oracle,        ///< Knows what each engine still has to read.
+};
+
+/// Which of three models answers.
+enum class Models
+{
+  Ours,
+  Smallest,
+  Largest,
+  Oracle, ///< Knows which models would answer well.
+};
+
+struct EngineScenario
+{
+  Placing mPlacing = Placing::Ours;
+  Models mModels = Models::Largest;
+  std::uint64_t mSeed = 1;
+  std::uint32_t mVms = 24;
+  std::uint32_t mEngines = 30;
+  std::uint32_t mSlots = 48;
+  /// Share of the engines' time that reading takes with the largest model.
+  double mLoad = 0.5;
+  double mLongShare = 0.1; ///< Of the prompts.
+  bool mHalfIsSlow = false;
+  double mSeconds = 60;
+  double mWarmUpSeconds = 10;
+};
+
+struct EngineResult
+{
+  std::vector<double> mShortFirsts; ///< Seconds to the first event.
+  std::vector<double> mLongFirsts;
+  double mNetValue = 0; ///< Mean of a request, in values of a good answer.
+};
+
+EngineResult RunEngines(const EngineScenario& aScenario);
+
+} // namespace Acaciavale::DecisionMeasure
--- a/Benchmarks/DecisionMeasureParts/Rows.h
+++ b/Benchmarks/DecisionMeasureParts/Rows.h
@@ -14,5 +14,10 @@
 void MeasurePrefix();
 void MeasureDomain();
 void MeasureFaulty();
+void MeasureLongPrompts();
+void MeasureHalfSlow();
+void MeasureCascade();
+void MeasureReturns();
+void MeasureTenant();
 
 } // namespace Acaciavale::DecisionMeasure
