Let the VMs of a large fleet choose among a few endpoints drawn at random

Change: from 30 VMs on, where loads are passed on, a choice scores three endpoints of the own failure domain and one of another, drawn at random, and those that the request has a reason to prefer. Counts of requests do not tell how long the prompts are that an engine has yet to read; that binds the rest.

--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -1,4 +1,5 @@
 #include <Acaciavale/LibRelay/EndpointBook.h>
+#include <Acaciavale/LibRelay/Readers.h>
 
 #include <Acaciavale/LibRouting/EndpointSubset.h>
 
@@ -39,6 +40,11 @@
 /// for which the deployments count one as kept, in seconds.
 constexpr double kPartKeptSeconds = 9;
 constexpr std::size_t kMostPartsKept = 256;
+/// Endpoints that a VM of a large fleet draws to choose from, in its failure
+/// domain and outside it: by the rows `long` and `half-slow` of
+/// docs/measurements/decisions.md, and so that one is left where one fails.
+constexpr std::uint32_t kDrawnNear = 3;
+constexpr std::uint32_t kDrawnFar = 1;
 /// Share of a pool that may be ejected; beyond it the fault is likely not
 /// that of the endpoints.
 constexpr double kEjectionCeiling = 0.5;
@@ -215,6 +221,10 @@
   query.mCrossDomainSeconds = aQuery.mCrossDomainSeconds;
   query.mPrefixHash = aQuery.mWork.mSharedHash;
   query.mHomeInDomain = true;
+  if (PassesLoadsOn(aQuery.mLiveVms)) {
+    query.mDrawnNear = kDrawnNear;
+    query.mDrawnFar = kDrawnFar;
+  }
   query.mPrefillSeconds =
     perToken * static_cast<double>(aQuery.mWork.mSharedTokens);
   const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -175,6 +175,29 @@
   }
 }
 
+/// Adds so many of those in this VM's failure domain or in others, at random.
+void AddDrawn(Shortlist& aShortlist,
+              const std::vector<EndpointView>& aEndpoints,
+              const EndpointQuery& aQuery,
+              bool aNear,
+              std::uint32_t aCount,
+              Random& aRandom)
+{
+  std::vector<const EndpointView*> endpoints;
+  for (const EndpointView& endpoint : aEndpoints) {
+    const bool isNear = endpoint.mFailureDomain == aQuery.mFailureDomain;
+    if (isNear == aNear && MayTake(endpoint, aQuery)) {
+      endpoints.push_back(&endpoint);
+    }
+  }
+  for (std::uint32_t draw = 0; draw < aCount && !endpoints.empty(); ++draw) {
+    const auto index = aRandom.Below(endpoints.size());
+    aShortlist.Add(*endpoints[index], aQuery);
+    endpoints[index] = endpoints.back();
+    endpoints.pop_back();
+  }
+}
+
 /// All endpoints of a small pool. Of a large one a random sample, which costs
 /// less time and keeps VMs apart, and those with a reason.
 Shortlist ShortlistOf(const std::vector<EndpointView>& aEndpoints,
@@ -183,9 +206,15 @@
                       Random& aRandom)
 {
   Shortlist shortlist;
-  if (aEndpoints.size() > kMaxScored) {
-    for (std::size_t draw = 0; draw < kSampled; ++draw) {
-      shortlist.Add(aEndpoints[aRandom.Below(aEndpoints.size())], aQuery);
+  const bool isDrawn = aQuery.mDrawnNear + aQuery.mDrawnFar > 0;
+  if (isDrawn || aEndpoints.size() > kMaxScored) {
+    if (isDrawn) {
+      AddDrawn(shortlist, aEndpoints, aQuery, true, aQuery.mDrawnNear, aRandom);
+      AddDrawn(shortlist, aEndpoints, aQuery, false, aQuery.mDrawnFar, aRandom);
+    } else {
+      for (std::size_t draw = 0; draw < kSampled; ++draw) {
+        shortlist.Add(aEndpoints[aRandom.Below(aEndpoints.size())], aQuery);
+      }
     }
     if (aHome != nullptr) {
       shortlist.Add(*aHome, aQuery);
--- a/Tests/LibRelay/TestEndpointBook.cpp
+++ b/Tests/LibRelay/TestEndpointBook.cpp
@@ -155,6 +155,36 @@
   CHECK(expected() > before);
 }
 
+/// Eighty VMs hear within a second of each other that one engine is idle. Did
+/// all of them choose it, its queue would be the longest before the next
+/// report.
+TEST(EndpointBook, ManyVmsDoNotAllChooseTheEndpointThatWasIdle)
+{
+  std::vector<EndpointRecord> records;
+  for (int id = 0; id < 30; ++id) {
+    records.push_back(Record(std::to_string(100 + id)));
+  }
+  mBook.Replace(records);
+  mQuery.mWork.mPromptTokens = 1000;
+  mQuery.mFailureDomain = "a";
+  for (const auto& endpoint : mBook.EndpointsOf("pool")) {
+    const bool isIdle = endpoint->mRecord.mId == "107";
+    mBook.RecordLoad(*endpoint, { isIdle ? 0 : 3, 0, 8 }, At(0));
+  }
+  const auto shareOfIdle = [this](std::uint32_t aVms) {
+    mQuery.mLiveVms = aVms;
+    int idle = 0;
+    for (int choice = 0; choice < 500; ++choice) {
+      idle += ChooseAt(0.1) == "107" ? 1 : 0;
+    }
+    return idle / 500.0;
+  };
+  DOUBLES_EQUAL(1, shareOfIdle(8), 0.01);
+  // It may get some times its fair share of one in thirty, and not all.
+  CHECK(shareOfIdle(84) > 2 / 30.0);
+  CHECK(shareOfIdle(84) < 6 / 30.0);
+}
+
 TEST(EndpointBook, SharedPartsHaveAHomeThatAllVmsAgreeOn)
 {
   std::vector<EndpointRecord> records;
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -54,6 +54,12 @@
   /// Whether the home is one of this VM's failure domain, where there are any:
   /// each domain then keeps a copy, and nothing is sent to another.
   bool mHomeInDomain = false;
+  /// Endpoints of this VM's failure domain, and of others, that are drawn at
+  /// random and scored with those that the request has a reason to prefer; 0
+  /// for all of a pool that is not large. Many VMs that hear the same reports
+  /// would else choose the same endpoint until the next ones.
+  std::uint32_t mDrawnNear = 0;
+  std::uint32_t mDrawnFar = 0;
   /// Share of the pool that this work leaves to more urgent work: above 0 it
   /// keeps off the reserved endpoints. See ReservedShare and ReservedEndpoints.
   double mReservedShare = 0;
