Let a stream go on with the version that began it

Change: while a roll-out is under way, a stream goes on elsewhere with the version that began it, and a request without a session that the new version failed goes back to the old one. A session that has crossed stays.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -195,8 +195,12 @@
                                                   mState->mLiveVms)));
   }
   Place place;
-  const VersionSide first =
-    SideOf(course, !mRequest.mSession.empty(), mSideDraw);
+  const bool hasSession = !mRequest.mSession.empty();
+  VersionSide first = SideOf(course, hasSession, mSideDraw);
+  if (!mTried.empty()) {
+    first = SideAfterFailure(
+      first, course, hasSession, mIsStreaming, mTried.back()->mRecord.mVersion);
+  }
   for (const VersionSide side : { first, FallbackSide(course) }) {
     query.mMayTake = [side, &course](const std::string& aVersion) {
       return MayTake(side, course, aVersion);
--- a/Libraries/LibRelay/RolloutCourse.cpp
+++ b/Libraries/LibRelay/RolloutCourse.cpp
@@ -89,6 +89,22 @@
   return VersionSide::Any;
 }
 
+VersionSide SideAfterFailure(VersionSide aSide,
+                             const std::optional<Course>& aCourse,
+                             bool aHasSession,
+                             bool aIsMidway,
+                             const std::string& aVersion)
+{
+  const bool isUnderWay = aCourse && (aCourse->mStage == CourseStage::Probe ||
+                                      aCourse->mStage == CourseStage::Shift);
+  if (!isUnderWay) {
+    return aSide;
+  }
+  const bool wasTarget = aVersion == aCourse->mOrder.mTarget;
+  const bool staysOld = wasTarget ? !aHasSession : aIsMidway;
+  return staysOld ? VersionSide::NotTarget : aSide;
+}
+
 VersionSide FallbackSide(const std::optional<Course>& aCourse)
 {
   // NOTE: A bad version serves nobody, whatever else is left.
--- a/Tests/LibRelay/TestRolloutCourse.cpp
+++ b/Tests/LibRelay/TestRolloutCourse.cpp
@@ -167,3 +167,42 @@
   CHECK(MayTake(FallbackSide(mCourse), mCourse, "v1"));
   CHECK(MayTake(SideOf(std::nullopt, true, 0.5), std::nullopt, "v1"));
 }
+
+/// A stream of the old version was cut in the second half of a roll-out to a
+/// version that fails; its two further sends both went there, and it broke off.
+TEST(RolloutCourse, AStreamGoesOnWithTheVersionThatBeganIt)
+{
+  for (const CourseStage stage : { CourseStage::Probe, CourseStage::Shift }) {
+    mCourse.mStage = stage;
+    for (const bool hasSession : { false, true }) {
+      CHECK(
+        VersionSide::NotTarget ==
+        SideAfterFailure(VersionSide::Target, mCourse, hasSession, true, "v1"));
+    }
+    CHECK(VersionSide::Target ==
+          SideAfterFailure(VersionSide::Target, mCourse, true, true, "v2"));
+  }
+}
+
+TEST(RolloutCourse, ANewVersionThatFailedARequestGetsItOnlyOnce)
+{
+  const auto retry = [this](bool aHasSession, const char* aVersion) {
+    return SideAfterFailure(
+      VersionSide::Target, mCourse, aHasSession, false, aVersion);
+  };
+  CHECK(VersionSide::NotTarget == retry(false, "v2"));
+  // A session that has crossed over does not go back.
+  CHECK(VersionSide::Target == retry(true, "v2"));
+  CHECK(VersionSide::Target == retry(true, "v1"));
+}
+
+TEST(RolloutCourse, AfterARolloutItsVersionsNoLongerMatterToRetries)
+{
+  for (const VersionSide side : { VersionSide::Any, VersionSide::NotTarget }) {
+    CHECK(side == SideAfterFailure(side, std::nullopt, false, true, "v1"));
+    mCourse.mStage = CourseStage::Completed;
+    CHECK(side == SideAfterFailure(side, mCourse, false, true, "v1"));
+    mCourse.mStage = CourseStage::Reverted;
+    CHECK(side == SideAfterFailure(side, mCourse, false, true, "v1"));
+  }
+}
--- a/include/Acaciavale/LibRelay/RolloutCourse.h
+++ b/include/Acaciavale/LibRelay/RolloutCourse.h
@@ -59,6 +59,16 @@
                    bool aHasSession,
                    double aDraw);
 
+/// Which side one more send of a request goes to, in the place of aSide, after
+/// an endpoint of aVersion has failed it. A stream that goes on elsewhere stays
+/// with the version that began it; a request without a session leaves a new
+/// version that failed it, as the next endpoint likely would as well.
+VersionSide SideAfterFailure(VersionSide aSide,
+                             const std::optional<Course>& aCourse,
+                             bool aHasSession,
+                             bool aIsMidway,
+                             const std::string& aVersion);
+
 /// The side to take where the first one has no endpoint.
 VersionSide FallbackSide(const std::optional<Course>& aCourse);
 
