Turn away at once what can't start in time, and tell when places come free

Cause: a request that found no place waited for three quarters of its goal in a line that could not serve it. The pace of starts was a mean of inverse gaps, which two starts within a millisecond drive up, and counted starts while nothing waited, which tell how much is asked for; so callers were told to come back too soon. Change: StartPace is the mean gap between starts while there is a line; WaitLine tells how many go before; what would start after one and a half times the time left is refused at once, with Retry-After from the same pace. No caller says that it comes back, so those who do still stand with newcomers.

--- a/Benchmarks/DecisionMeasureParts/LineRun.cpp
+++ b/Benchmarks/DecisionMeasureParts/LineRun.cpp
@@ -138,6 +138,13 @@
     const double share = mScenario.mQueueing == Queueing::Ours ? kLineShare : 1;
     work.mStartBy =
       At(isPatient ? mNow + kSeconds : mNow + share * kGoalSeconds);
+    const bool isHopeless =
+      mScenario.mQueueing == Queueing::Ours && mFree == 0 &&
+      IsHopeless(mPace, mLine.Before(work, At(mNow)), share * kGoalSeconds);
+    if (isHopeless) {
+      TurnAway(aCaller, caller.mCalls);
+      return;
+    }
     const WaitTicket ticket = mLine.Add(work);
     mWaiting[ticket] = aCaller;
     if (!isPatient) {
@@ -166,13 +173,12 @@
         return;
       }
       Caller& caller = mCallers[mWaiting.at(*ticket)];
+      const bool isLine = mWaiting.size() > 1 || mNow > caller.mCalled;
+      mPace = WithStart(mPace, isLine, At(mNow));
       Leave(*ticket);
       caller.mIsOver = true;
       mFree -= 1;
       mLine.RecordStart(std::to_string(caller.mAccount));
-      mStartsPerSecond +=
-        0.05 * (1 / std::max(0.001, mNow - mLastStart) - mStartsPerSecond);
-      mLastStart = mNow;
       const double end = mNow + caller.mService;
       mEvents.push({ end, Step::PlaceFree, 0, 0 });
       if (mNow - caller.mCalled <= kGoalSeconds) {
@@ -203,8 +209,7 @@
     }
     mRefusedAgain += aCall > 1 ? 1 : 0;
     if (aCall < kCalls) {
-      const Duration pause =
-        ReturnAfter(mLine.size(), mStartsPerSecond, mRandom.Unit());
+      const Duration pause = ReturnAfter(mPace, mLine.size(), mRandom.Unit());
       mEvents.push({ mNow + InSeconds(pause), Step::Call, aCaller, 0 });
     }
   }
@@ -217,8 +222,7 @@
   std::vector<Caller> mCallers;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
   double mNow = 0;
-  double mLastStart = 0;
-  double mStartsPerSecond = 0;
+  StartPace mPace;
   double mGoodSeconds = 0;
   double mAsked[2] = { 0, 0 };
   double mServed[2] = { 0, 0 };
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -240,7 +240,9 @@
   work.mSince = MonotonicNow();
   work.mStartBy = std::min(
     mDeadline, mArrived + FromSeconds(kLineShare * InSeconds(mRoute->mGoal)));
-  if (work.mStartBy <= work.mSince) {
+  const double left = InSeconds(work.mStartBy - work.mSince);
+  const std::size_t before = pool.mLine.Before(work, work.mSince);
+  if (left <= 0 || IsHopeless(pool.mPace, before, left)) {
     GiveUp();
     return;
   }
@@ -284,9 +286,9 @@
 void Exchange::SendTo(const Place& aPlace)
 {
   const TimePoint now = MonotonicNow();
-  mState->RecordStart(mPool, now);
-  mState->mLines[mPool].mLine.RecordStart(
-    mAccount == nullptr ? "" : mAccount->mName);
+  PoolLine& line = mState->mLines[mPool];
+  line.mPace = WithStart(line.mPace, line.mLine.size() > 0, now);
+  line.mLine.RecordStart(mAccount == nullptr ? "" : mAccount->mName);
   Send& send = mSends.emplace_back();
   send.mEndpoint = aPlace.mEndpoint;
   send.mModel = mModel;
@@ -349,8 +351,7 @@
   const PoolLine& line = mState->mLines[mPool];
   Refuse(503,
          mTicket ? "no place came free in time" : "no endpoint took it",
-         ReturnAfter(
-           line.mLine.size(), line.mStartsPerSecond, mState->mRandom.Unit()));
+         ReturnAfter(line.mPace, line.mLine.size(), mState->mRandom.Unit()));
 }
 
 void Exchange::OnDeadline()
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -9,13 +9,6 @@
 
 namespace Acaciavale::Relay {
 
-namespace {
-
-/// Weight of the newest gap between two starts in the smoothed pace.
-constexpr double kPaceWeight = 0.1;
-
-} // namespace
-
 bool RelayState::KnowsKeys() const
 {
   return mSettings && SuspendAwareNow() - mAskedAt < mOptions.mKeyProof;
@@ -45,17 +38,6 @@
   }
 }
 
-void RelayState::RecordStart(const std::string& aPool, TimePoint aNow)
-{
-  PoolLine& pool = mLines[aPool];
-  if (pool.mLastStart != TimePoint{}) {
-    const double gap = std::max(
-      0.0001, std::chrono::duration<double>(aNow - pool.mLastStart).count());
-    pool.mStartsPerSecond += kPaceWeight * (1 / gap - pool.mStartsPerSecond);
-  }
-  pool.mLastStart = aNow;
-}
-
 RequestRelay::RequestRelay(boost::asio::io_context& aLoop,
                            WireCodec aCodec,
                            RelayOptions aOptions)
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -18,8 +18,7 @@
 {
   WaitLine mLine;
   std::map<WaitTicket, std::weak_ptr<Exchange>> mWaiting;
-  double mStartsPerSecond = 0; ///< Smoothed.
-  TimePoint mLastStart{};
+  StartPace mPace;
 };
 
 /// What all exchanges of one relay share. One thread uses it.
@@ -62,8 +61,6 @@
 
   /// Starts waiting work of the pool while there is room for it.
   void ServeLine(const std::string& aPool);
-
-  void RecordStart(const std::string& aPool, TimePoint aNow);
 };
 
 } // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/WaitLine.cpp
+++ b/Libraries/LibRelay/WaitLine.cpp
@@ -16,6 +16,11 @@
 constexpr double kSecondsPerStart = 0.25;
 /// What one start leaves of the starts before it.
 constexpr double kStartsKept = 0.95;
+/// Weight of one more gap between starts.
+constexpr double kPaceWeight = 0.05;
+/// How many times the time left the expected wait has to be until work is
+/// turned away at once: gaps spread, and others may leave the line.
+constexpr double kHopelessShare = 1.5;
 /// Bounds of the advice to come back: sooner only repeats the refusal, later
 /// is more than callers wait.
 constexpr double kLeastReturnSeconds = 0.1;
@@ -34,6 +39,16 @@
   mWork.erase(aTicket);
 }
 
+std::pair<double, TimePoint> WaitLine::RankOf(const WaitingWork& aWork,
+                                              TimePoint aNow) const
+{
+  const auto started = mStarts.find(aWork.mAccount);
+  const double starts = started == mStarts.end() ? 0 : started->second;
+  return { kSecondsPerRank * static_cast<double>(aWork.mUrgency) +
+             kSecondsPerStart * starts - InSeconds(aNow - aWork.mSince),
+           aWork.mStartBy };
+}
+
 std::optional<WaitTicket> WaitLine::Next(TimePoint aNow) const
 {
   std::optional<WaitTicket> best;
@@ -42,12 +57,7 @@
     if (work.mStartBy < aNow) {
       continue;
     }
-    const auto started = mStarts.find(work.mAccount);
-    const double starts = started == mStarts.end() ? 0 : started->second;
-    const double handicap =
-      kSecondsPerRank * static_cast<double>(work.mUrgency) +
-      kSecondsPerStart * starts - InSeconds(aNow - work.mSince);
-    const std::pair<double, TimePoint> rank{ handicap, work.mStartBy };
+    const auto rank = RankOf(work, aNow);
     if (!best || rank < bestRank) {
       best = ticket;
       bestRank = rank;
@@ -56,6 +66,16 @@
   return best;
 }
 
+std::size_t WaitLine::Before(const WaitingWork& aWork, TimePoint aNow) const
+{
+  const auto rank = RankOf(aWork, aNow);
+  return static_cast<std::size_t>(
+    std::count_if(mWork.begin(), mWork.end(), [&](const auto& aOther) {
+      return aOther.second.mStartBy >= aNow &&
+             RankOf(aOther.second, aNow) < rank;
+    }));
+}
+
 std::vector<WaitTicket> WaitLine::Expired(TimePoint aNow) const
 {
   std::vector<WaitTicket> expired;
@@ -75,15 +95,42 @@
   mStarts[aAccount] += 1;
 }
 
-Duration ReturnAfter(std::size_t aAhead,
-                     double aStartsPerSecond,
+StartPace WithStart(StartPace aPace, bool aIsLine, TimePoint aNow)
+{
+  if (!aIsLine) {
+    aPace.mLastStart = {};
+    return aPace;
+  }
+  if (aPace.mLastStart != TimePoint{}) {
+    // NOTE: The mean of the gaps, and not of their inverses: two starts in one
+    //       millisecond are no pace of a thousand a second.
+    const double gap = InSeconds(aNow - aPace.mLastStart);
+    const double weight = aPace.mSecondsPerStart == 0 ? 1 : kPaceWeight;
+    aPace.mSecondsPerStart += weight * (gap - aPace.mSecondsPerStart);
+  }
+  aPace.mLastStart = aNow;
+  return aPace;
+}
+
+double SecondsToStart(const StartPace& aPace, std::size_t aBefore)
+{
+  return aPace.mSecondsPerStart * static_cast<double>(aBefore + 1);
+}
+
+bool IsHopeless(const StartPace& aPace,
+                std::size_t aBefore,
+                double aSecondsLeft)
+{
+  return SecondsToStart(aPace, aBefore) > kHopelessShare * aSecondsLeft;
+}
+
+Duration ReturnAfter(const StartPace& aPace,
+                     std::size_t aBefore,
                      double aSpread01)
 {
-  const double pace = std::max(1.0, aStartsPerSecond);
-  const double seconds = static_cast<double>(aAhead + 1) / pace;
-  const double spread = seconds * (1 + aSpread01);
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-    std::clamp(spread, kLeastReturnSeconds, kMostReturnSeconds)));
+  const double seconds = SecondsToStart(aPace, aBefore) * (1 + aSpread01);
+  return FromSeconds(
+    std::clamp(seconds, kLeastReturnSeconds, kMostReturnSeconds));
 }
 
 } // namespace Acaciavale::Relay
