--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -101,6 +101,23 @@
                      });
 }
 
+std::function<void(const error_code&, std::size_t)>
+ClientSession::Private::WhenRead(const std::shared_ptr<ClientSession>& aSelf,
+                                 Step aNext)
+{
+  return [aSelf, aNext](const error_code& aError, std::size_t) {
+    Private& session = *aSelf->mPrivate;
+    if (session.mPhase != Phase::Reading) {
+      return;
+    }
+    if (aError) {
+      session.Reject(aSelf, aError);
+      return;
+    }
+    (session.*aNext)(aSelf);
+  };
+}
+
 void ClientSession::Private::ReadRequest(
   const std::shared_ptr<ClientSession>& aSelf)
 {
@@ -111,17 +128,7 @@
   mParser->body_limit(bounds.mBodyBytes);
   Arm(aSelf, bounds.mHeaderTimeout);
   http::async_read_header(
-    mSocket, mBuffer, *mParser, [aSelf](const error_code& aError, std::size_t) {
-      Private& session = *aSelf->mPrivate;
-      if (session.mPhase != Phase::Reading) {
-        return;
-      }
-      if (aError) {
-        session.Reject(aSelf, aError);
-        return;
-      }
-      session.ReadRequestBody(aSelf);
-    });
+    mSocket, mBuffer, *mParser, WhenRead(aSelf, &Private::ReadRequestBody));
 }
 
 void ClientSession::Private::ReadRequestBody(
@@ -136,17 +143,7 @@
   }
   Arm(aSelf, mHooks->mBounds().mIdleTimeout);
   http::async_read(
-    mSocket, mBuffer, *mParser, [aSelf](const error_code& aError, std::size_t) {
-      Private& session = *aSelf->mPrivate;
-      if (session.mPhase != Phase::Reading) {
-        return;
-      }
-      if (aError) {
-        session.Reject(aSelf, aError);
-        return;
-      }
-      session.TakeRequest(aSelf);
-    });
+    mSocket, mBuffer, *mParser, WhenRead(aSelf, &Private::TakeRequest));
 }
 
 void ClientSession::Private::TakeRequest(
--- a/Libraries/LibRelay/ClientSessionPrivate.h
+++ b/Libraries/LibRelay/ClientSessionPrivate.h
@@ -50,6 +50,11 @@
   std::function<void()> mOnGone;
   std::function<void()> mOnDrained;
 
+  using Step = void (Private::*)(const std::shared_ptr<ClientSession>&);
+  /// Goes on with the next step once a part of the request is read.
+  std::function<void(const error_code&, std::size_t)> WhenRead(
+    const std::shared_ptr<ClientSession>& aSelf,
+    Step aNext);
   void Arm(const std::shared_ptr<ClientSession>& aSelf, Duration aTimeout);
   void WaitForRequest(const std::shared_ptr<ClientSession>& aSelf);
   void ReadRequest(const std::shared_ptr<ClientSession>& aSelf);
--- a/Libraries/LibRelay/EndpointBook.cpp
+++ b/Libraries/LibRelay/EndpointBook.cpp
@@ -49,14 +49,9 @@
 /// that of the endpoints.
 constexpr double kEjectionCeiling = 0.5;
 
-double SecondsBetween(TimePoint aFrom, TimePoint aTo)
-{
-  return std::chrono::duration<double>(aTo - aFrom).count();
-}
-
 double SlownessAt(const Endpoint& aEndpoint, TimePoint aNow)
 {
-  const double age = std::max(0.0, SecondsBetween(aEndpoint.mSlownessAt, aNow));
+  const double age = std::max(0.0, InSeconds(aNow - aEndpoint.mSlownessAt));
   const double kept = std::exp2(-age / kSlownessHalfLifeSeconds);
   return std::pow(aEndpoint.mSlowness, kept) * (1 - kOptimism * (1 - kept));
 }
@@ -71,7 +66,7 @@
 {
   const auto found = aEndpoint.mSharedParts.find(aHash);
   return found != aEndpoint.mSharedParts.end() &&
-         SecondsBetween(found->second, aNow) < kPartKeptSeconds;
+         InSeconds(aNow - found->second) < kPartKeptSeconds;
 }
 
 } // namespace
@@ -253,7 +248,7 @@
     aEndpoint.mSharedParts[aWork.mSharedHash] = aNow;
     if (aEndpoint.mSharedParts.size() > kMostPartsKept) {
       std::erase_if(aEndpoint.mSharedParts, [&](const auto& aPart) {
-        return SecondsBetween(aPart.second, aNow) >= kPartKeptSeconds;
+        return InSeconds(aNow - aPart.second) >= kPartKeptSeconds;
       });
     }
   }
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -125,9 +125,7 @@
     Refuse(503, "no time is left");
     return;
   }
-  mTimer.expires_at(
-    std::chrono::time_point_cast<boost::asio::steady_timer::duration>(
-      mDeadline));
+  mTimer.expires_at(mDeadline);
   mTimer.async_wait([self = shared_from_this()](const error_code& aError) {
     if (!aError) {
       self->OnDeadline();
@@ -248,9 +246,7 @@
   }
   mTicket = pool.mLine.Add(work);
   pool.mWaiting[*mTicket] = weak_from_this();
-  mLineTimer.expires_at(
-    std::chrono::time_point_cast<boost::asio::steady_timer::duration>(
-      work.mStartBy));
+  mLineTimer.expires_at(work.mStartBy);
   mLineTimer.async_wait([self = shared_from_this()](const error_code& aError) {
     if (!aError && !self->mIsOver && self->mTicket) {
       self->GiveUp();
--- a/Libraries/LibRelay/RolloutCourse.cpp
+++ b/Libraries/LibRelay/RolloutCourse.cpp
@@ -59,6 +59,17 @@
 
 } // namespace
 
+bool IsUnderWay(CourseStage aStage)
+{
+  return aStage == CourseStage::Probe || aStage == CourseStage::Shift;
+}
+
+CourseEvidence operator+(const CourseEvidence& aLeft,
+                         const CourseEvidence& aRight)
+{
+  return { aLeft.mOld + aRight.mOld, aLeft.mNew + aRight.mNew };
+}
+
 Course WithShares(Course aCourse, Duration aElapsed)
 {
   const bool isSecondHalf = PartOf(aCourse.mOrder, aElapsed) >= kStepAt;
@@ -95,9 +106,7 @@
                              bool aIsMidway,
                              const std::string& aVersion)
 {
-  const bool isUnderWay = aCourse && (aCourse->mStage == CourseStage::Probe ||
-                                      aCourse->mStage == CourseStage::Shift);
-  if (!isUnderWay) {
+  if (!aCourse || !IsUnderWay(aCourse->mStage)) {
     return aSide;
   }
   const bool wasTarget = aVersion == aCourse->mOrder.mTarget;
--- a/include/Acaciavale/LibRelay/RolloutCourse.h
+++ b/include/Acaciavale/LibRelay/RolloutCourse.h
@@ -47,6 +47,9 @@
   NotTarget,
 };
 
+/// Whether the traffic is still moving.
+bool IsUnderWay(CourseStage aStage);
+
 /// The course with the shares that probe the new version at the time given.
 /// Requests without a session do from the start. Sessions may change their
 /// version only in the second half, and a session that is open goes on at any
@@ -85,6 +88,9 @@
   auto operator<=>(const CourseEvidence&) const = default;
 };
 
+CourseEvidence operator+(const CourseEvidence& aLeft,
+                         const CourseEvidence& aRight);
+
 struct CourseDecision
 {
   CourseStage mStage = CourseStage::Probe;
