--- a/Tests/Platform/TestStoreOutage.cpp
+++ b/Tests/Platform/TestStoreOutage.cpp
@@ -41,7 +41,7 @@
       [&] { return mFixture.mStore.Value("vms/" + aVm).has_value(); });
   }
 
-  void CutOff(Platform::Node& aVm, const std::string& aName)
+  void CutOff(Platform::Node & aVm, const std::string& aName)
   {
     auto config = mFixture.mConfig;
     config.mName = aName;
@@ -49,7 +49,7 @@
     aVm.SetConfig(config);
   }
 
-  void Reconnect(Platform::Node& aVm, const std::string& aName)
+  void Reconnect(Platform::Node & aVm, const std::string& aName)
   {
     auto config = mFixture.mConfig;
     config.mName = aName;
