--- a/Libraries/LibRelay/StoreReaders.cpp
+++ b/Libraries/LibRelay/StoreReaders.cpp
@@ -34,6 +34,39 @@
 /// their entries after an outage.
 constexpr Duration kInitialRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kMaximumRetryDelay = std::chrono::milliseconds(1000);
+/// Maximum number of readers that a VM asks about one outage: two failure
+/// domains may be cut off together.
+constexpr std::size_t kMaximumWitnesses = 3;
+
+/// The names of the readers other than the VM itself.
+struct ReadersByDistance
+{
+  std::vector<std::string> mNear; ///< In the VM's failure domain.
+  std::vector<std::string> mFar;
+};
+
+/// Rotating each group by a hash of the name spreads the VMs over the readers.
+ReadersByDistance OtherReaders(const std::vector<ListedVm>& aReaders,
+                               const ListedVm& aSelf)
+{
+  ReadersByDistance others;
+  for (const ListedVm& reader : aReaders) {
+    if (reader.mName != aSelf.mName) {
+      const bool isNear = reader.mFailureDomain == aSelf.mFailureDomain;
+      (isNear ? others.mNear : others.mFar).push_back(reader.mName);
+    }
+  }
+  const std::size_t hash = XXH3_64bits(aSelf.mName.data(), aSelf.mName.size());
+  for (std::vector<std::string>* group : { &others.mNear, &others.mFar }) {
+    if (!group->empty()) {
+      std::rotate(group->begin(),
+                  group->begin() +
+                    static_cast<std::ptrdiff_t>(hash % group->size()),
+                  group->end());
+    }
+  }
+  return others;
+}
 
 } // namespace
 
@@ -88,6 +121,15 @@
     });
 }
 
+std::vector<std::string> OutageWitnesses(const std::vector<ListedVm>& aReaders,
+                                         const ListedVm& aSelf)
+{
+  auto [near, far] = OtherReaders(aReaders, aSelf);
+  far.insert(far.end(), near.begin(), near.end());
+  far.resize(std::min(far.size(), kMaximumWitnesses));
+  return far;
+}
+
 std::optional<std::string> ReaderFor(const std::vector<ListedVm>& aReaders,
                                      const ListedVm& aSelf,
                                      std::size_t aAttempt,
@@ -96,25 +138,7 @@
   if (aMayRead && IsReader(aReaders, aSelf.mName)) {
     return std::nullopt;
   }
-  // NOTE: Rotating each group by a hash of the name spreads the VMs over the
-  //       readers and yet keeps the own failure domain first.
-  std::vector<std::string> near;
-  std::vector<std::string> far;
-  for (const ListedVm& reader : aReaders) {
-    if (reader.mName != aSelf.mName) {
-      const bool isNear = reader.mFailureDomain == aSelf.mFailureDomain;
-      (isNear ? near : far).push_back(reader.mName);
-    }
-  }
-  const std::size_t hash = XXH3_64bits(aSelf.mName.data(), aSelf.mName.size());
-  for (std::vector<std::string>* group : { &near, &far }) {
-    if (!group->empty()) {
-      std::rotate(group->begin(),
-                  group->begin() +
-                    static_cast<std::ptrdiff_t>(hash % group->size()),
-                  group->end());
-    }
-  }
+  auto [near, far] = OtherReaders(aReaders, aSelf);
   near.insert(near.end(), far.begin(), far.end());
   return near.empty() ? std::nullopt
                       : std::optional(near[aAttempt % near.size()]);
--- a/Tests/LibRelay/TestStoreReaders.cpp
+++ b/Tests/LibRelay/TestStoreReaders.cpp
@@ -111,6 +111,24 @@
   UNSIGNED_LONGS_EQUAL(readers.size(), asked.size());
 }
 
+/// A VM that was cut off was so most likely together with its failure domain.
+TEST(StoreReaders, WitnessesOfAnOutageAreOfOtherFailureDomainsFirst)
+{
+  const auto vms = Vms(8, 4);
+  const auto readers = SelectReaders(vms);
+  for (const ListedVm& self : vms) {
+    const auto witnesses = OutageWitnesses(readers, self);
+    CHECK(!witnesses.empty());
+    CHECK(witnesses.size() <= 3);
+    for (const std::string& witness : witnesses) {
+      CHECK(witness != self.mName);
+      CHECK(Named(vms, witness).mFailureDomain != self.mFailureDomain ||
+            witnesses.size() == 1 || witness == witnesses.back());
+    }
+  }
+  CHECK(OutageWitnesses(SelectReaders({ vms[0] }), vms[0]).empty());
+}
+
 TEST(StoreReaders, AFleetOfOneVmHasItAsReader)
 {
   const ListedVm self{ "vm", "domain", 20 };
--- a/Tests/Platform/TestStoreOutage.cpp
+++ b/Tests/Platform/TestStoreOutage.cpp
@@ -105,6 +105,29 @@
   UNSIGNED_LONGS_EQUAL(0, ArrivalsOfNewRequests(left, "key-2"));
 }
 
+/// All VMs were without the store, so the entry may have lapsed meanwhile.
+TEST(StoreOutage, AnEndpointWhoseEntryLapsedIsKeptForTheGracePeriod)
+{
+  mFixture.PutSettings(1, { "key-1" });
+  const Replica& lapsed =
+    mFixture.AddEndpoint("desk", "i-1", RespondWith("alive"));
+  mFixture.StartNode();
+  RunUntilRegistered("vm-1");
+  StartVm("vm-2");
+  mFixture.RunFor(std::chrono::milliseconds(2500));
+  mFixture.mStore.SetMode(Store::Mode::Unresponsive);
+  mFixture.RunFor(std::chrono::milliseconds(2500));
+  const std::string entry = *mFixture.mStore.Value("servers/i-1");
+  mFixture.mStore.Remove("servers/i-1");
+  mFixture.PutSettings(2, { "key-2" });
+  mFixture.mStore.SetMode(Store::Mode::Serving);
+  mFixture.RunUntil([&] { return RequestStatus("key-2") == 200; });
+  UNSIGNED_LONGS_EQUAL(40, ArrivalsOfNewRequests(lapsed, "key-2"));
+  mFixture.mStore.Put("servers/i-1", entry);
+  mFixture.RunFor(std::chrono::milliseconds(2500));
+  UNSIGNED_LONGS_EQUAL(40, ArrivalsOfNewRequests(lapsed, "key-2"));
+}
+
 /// An entry that was there after the outage has not lapsed in it.
 TEST(StoreOutage, AnEndpointThatLeavesAfterTheOutageIsDropped)
 {
--- a/include/Acaciavale/LibRelay/StoreReaders.h
+++ b/include/Acaciavale/LibRelay/StoreReaders.h
@@ -50,6 +50,13 @@
                                      std::size_t aAttempt,
                                      bool aMayRead = true);
 
+/// The readers that a VM asks whether the store was away, after it could not
+/// read it for some time. If only this VM was cut off, its failure domain is
+/// the most likely to have been cut off with it, so readers of other domains
+/// come first.
+std::vector<std::string> OutageWitnesses(const std::vector<ListedVm>& aReaders,
+                                         const ListedVm& aSelf);
+
 /// Number of readers that a VM asks in one poll before it reads the store
 /// itself. In a large fleet, many VMs lose the same reader at once, and their
 /// reads would load the store.
