Judge the pace of a new version's streams while they run

Only errors and the time to the first event were evidence, and only of answers that had ended: the fast ones.

Each attempt is now rated by its pace at the age of 1.2 s, whether it has ended or not; attempts given up as silent, and slow ones whose caller left, count as slow. LibRollout's test of ratings judges them, so a step needs 20 of them. At the deadline the new version's errors and slow streams must be what the old version's would be by chance, instead of within a fixed tenth. The shift to the new version comes later (0.72 instead of 0.62 of the duration, completion at 0.88 instead of 0.86), as a stream shows its pace only after a second, and the step before it has 0.28 of the traffic instead of 0.35 for the same exposure.

Tried and left: counting slow streams as errors at once (the shift was still decided by the fast ones), a step of 0.2 (too few answers).

SlowVersion.AVersionWhoseEventsAreSlowIsReverted failed before and passes; VersionEvidence replays the load on virtual time. Three checks of TrafficShift were at times before the later shift and moved with it by the same distance.

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -15,6 +15,8 @@
 constexpr double kSlownessWeight = 0.2;
 /// Weight of a new sample in the goal ratio of a pool.
 constexpr double kGoalRatioWeight = 0.05;
+/// Weight of a new sample in the usual time between events.
+constexpr double kSecondsPerEventWeight = 0.05;
 /// Relative step of the estimated first quartile of the seconds per token: one
 /// step up for each slower prompt, three steps down for each faster one.
 constexpr double kQuartileStep = 0.02;
@@ -141,6 +143,21 @@
   return secondsPerToken * static_cast<double>(aWork.mPromptTokens);
 }
 
+double EndpointRegistry::UsualSecondsPerEvent(const std::string& aPool,
+                                              const AttemptWork& aWork) const
+{
+  return LatencyModelOf(aPool, aWork).mSecondsPerEvent;
+}
+
+void EndpointRegistry::RecordSecondsPerEvent(const std::string& aPool,
+                                             const AttemptWork& aWork,
+                                             double aSeconds)
+{
+  double& usual = mLatencyModels[{ aPool, aWork.mModel }].mSecondsPerEvent;
+  usual =
+    usual == 0 ? aSeconds : usual + kSecondsPerEventWeight * (aSeconds - usual);
+}
+
 double EndpointRegistry::FirstEventGoalRatio(const std::string& aPool) const
 {
   const auto found = mFirstEventGoalRatios.find(aPool);
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -305,6 +305,7 @@
   attempt.mModel = mModel;
   attempt.mWork = AttemptWorkFor(mModel);
   attempt.mStartedAt = now;
+  BeginEvidence(attempt);
   mTriedEndpoints.push_back(attempt.mEndpoint.get());
   mState->mRegistry.RecordAttempt(*attempt.mEndpoint, attempt.mWork, now);
 
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -23,6 +23,8 @@
   /// Time to the response or the first event; 0 before it.
   double mFirstEventSeconds = 0;
   bool mIsOver = false;
+  /// The attempt as evidence on its version; also kept if there is no roll-out.
+  std::shared_ptr<JudgedAttempt> mJudged;
   bool mIsStream =
     false; ///< Whether the events of the response are forwarded to the caller.
   ResponseHead mHead;
@@ -97,6 +99,9 @@
   Duration FirstEventTimeout(double aExpectedSeconds) const;
   AttemptEnd Classify(const Attempt& aAttempt, CallResult aResult) const;
   void CloseAttempt(Attempt& aAttempt, AttemptEnd aEnd);
+  // ExchangeEvidence.cpp: evidence on the versions of a roll-out.
+  void BeginEvidence(Attempt& aAttempt);
+  void EndEvidence(Attempt& aAttempt, AttemptEnd aEnd);
   void CancelOthers(const Attempt* aKept);
   void ForwardResponse(const Attempt& aAttempt);
   void RetryOrFail(AttemptEnd aEnd);
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -37,9 +37,6 @@
 /// Additional number of attempts after a silent one per window, for VMs with
 /// few requests.
 constexpr double kSilenceRetrySlack = 3;
-/// Multiple of the expected time to the first event from which a late response
-/// counts as an error of its version. Bad versions are several times slower.
-constexpr double kSlowResponseMultiple = 4;
 /// Maximum number of failed connections per request, in addition to its
 /// attempts.
 constexpr std::int64_t kMaximumFailedConnections = 4;
@@ -211,6 +208,7 @@
   const TimePoint now = MonotonicNow();
   aAttempt.mFirstEventSeconds =
     std::max(1e-6, InSeconds(now - aAttempt.mStartedAt));
+  aAttempt.mJudged->mTiming.mFirstEventSeconds = aAttempt.mFirstEventSeconds;
   mState->mRegistry.RecordFirstEvent(
     *aAttempt.mEndpoint, aAttempt.mWork, aAttempt.mFirstEventSeconds, now);
   mState->mRegistry.RecordFirstEventGoalRatio(
@@ -232,6 +230,7 @@
       mLastEventId = event.mId;
     }
     text += event.mText;
+    aAttempt.mJudged->mTiming.mEvents += 1;
   }
   if (text.empty()) {
     return;
@@ -312,31 +311,7 @@
                               aAttempt.mFirstEventSeconds > 0,
                               outcome,
                               now);
-  const std::optional<TrafficShift> shift = mState->TrafficShiftOf(mPool);
-  const bool isEvidence = aEnd == AttemptEnd::Answered ||
-                          aEnd == AttemptEnd::EndpointError ||
-                          aEnd == AttemptEnd::TimedOut;
-  if (shift && isEvidence) {
-    TrafficShiftEvidence& evidence = mState->mEvidence[mPool];
-    const bool isNew =
-      aAttempt.mEndpoint->mRecord.mVersion == shift->mOrder.mTarget;
-    EvidenceCell& cell = isNew ? evidence.mNew : evidence.mOld;
-    cell.mAnswers += 1;
-    // NOTE: Only error responses and slow responses count as errors of the
-    //       version. Connections may be lost for other reasons, and a silent
-    //       endpoint counts as slow.
-    const bool isSlow = aAttempt.mFirstEventSeconds >
-                        std::max(InSeconds(mRoute->mFirstEventGoal),
-                                 kSlowResponseMultiple *
-                                   mState->mRegistry.ExpectedFirstEventSeconds(
-                                     mPool, aAttempt.mWork));
-    cell.mErrors += aEnd == AttemptEnd::EndpointError || isSlow ? 1 : 0;
-    if (aEnd != AttemptEnd::EndpointError) {
-      cell.mFirstTokenSeconds += aAttempt.mFirstEventSeconds > 0
-                                   ? aAttempt.mFirstEventSeconds
-                                   : outcome.mTotalSeconds;
-    }
-  }
+  EndEvidence(aAttempt, aEnd);
   // NOTE: The call is posted, because the queue may start attempts and this
   //       function may be called while an attempt is started.
   boost::asio::post(
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -137,7 +137,12 @@
 
 std::map<std::string, TrafficShiftEvidence> RequestRelay::Evidence() const
 {
-  return mState->mEvidence;
+  std::map<std::string, TrafficShiftEvidence> counted;
+  for (auto& [pool, evidence] : mState->mEvidence) {
+    RateDueAttempts(evidence, MonotonicNow());
+    counted[pool] = evidence.mCounted;
+  }
+  return counted;
 }
 
 std::vector<LoadReport> RequestRelay::LoadReportsWithin(Duration aAge) const
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -2,6 +2,7 @@
 
 #include <Acaciavale/LibCore/Random.h>
 #include <Acaciavale/LibRelay/Relay.h>
+#include <Acaciavale/LibRelay/VersionEvidence.h>
 #include <Acaciavale/LibRelay/WaitQueue.h>
 #include <Acaciavale/LibReport/Metrics.h>
 
@@ -42,8 +43,8 @@
   EndpointRegistry mRegistry;
   /// Traffic shifts by pool.
   std::map<std::string, TrafficShift> mTrafficShifts;
-  std::map<std::string, TrafficShiftEvidence> mEvidence; ///< Evidence by pool.
-  std::map<std::string, RetryBudget> mRetryBudgets;      ///< Budgets by pool.
+  std::map<std::string, VersionEvidence> mEvidence; ///< Evidence by pool.
+  std::map<std::string, RetryBudget> mRetryBudgets; ///< Budgets by pool.
   /// Budgets for the retries of silent attempts, by pool.
   std::map<std::string, RetryBudget> mSilenceBudgets;
   std::map<std::string, PoolQueue> mQueues; ///< Queues by pool.
--- a/Libraries/LibRelay/TrafficShift.cpp
+++ b/Libraries/LibRelay/TrafficShift.cpp
@@ -1,6 +1,7 @@
 #include <Acaciavale/LibRelay/TrafficShift.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Acaciavale::Relay {
 
@@ -11,27 +12,30 @@
 /// requests until all VMs have received a revert, add to the share.
 constexpr double kProbeShare = 0.08;
 /// Share of all requests in the step between the probe and the full shift,
-/// which yields some tens of answers before the decision.
-constexpr double kStepShare = 0.35;
+/// which yields some tens of answers before the decision. A version that is
+/// reverted at the decision has had a tenth of the requests since the order.
+constexpr double kStepShare = 0.28;
 /// Times of the stages as shares of the order's duration. Sessions may not
 /// change sides in the first half. Between the shift and the completion, the
 /// longest typical streams finish on the old version. After the completion,
 /// some seconds remain for a VM that replaces a failed one.
-constexpr double kStepStartShare = 0.52;
-constexpr double kShiftStartShare = 0.62;
-constexpr double kDecisionDeadlineShare = 0.7;
-constexpr double kCompletionShare = 0.86;
+constexpr double kStepStartShare = 0.51;
+constexpr double kShiftStartShare = 0.72;
+constexpr double kDecisionDeadlineShare = 0.77;
+constexpr double kCompletionShare = 0.88;
 /// Minimum number of answers for the verdict that a new version is good. In the
 /// smallest pools, a probe yields about this number.
 constexpr std::int64_t kProbeAnswers = 20;
-/// Maximum increase of the error share over the old version's in a probe with
-/// few samples. Bad versions have a far higher error share.
-constexpr double kFewSamplesErrorSlack = 0.1;
+/// Increase of the error share over the old version's that is no sign of a bad
+/// version. Other load on the endpoints alone causes it.
+constexpr double kAllowedErrorIncrease = 0.02;
+/// Standard errors of the number of errors that are attributed to chance.
+constexpr double kAllowedStandardErrors = 2;
 /// Maximum ratio of the new version's latency to the old version's. Different
 /// load alone causes ratios of up to two.
 constexpr double kMaximumLatencyRatio = 2.5;
-/// Number of errors that are attributed to chance in a probe with few samples.
-constexpr double kFewSamplesAllowedFailures = 1;
+/// Number of errors that are attributed to chance in any case.
+constexpr double kAllowedErrors = 1;
 
 RolloutSettings JudgeSettings()
 {
@@ -39,6 +43,7 @@
   settings.mSteps = { kProbeShare, 1 };
   settings.mMinimumSamples = kProbeAnswers;
   settings.mMaxErrorIncrease = 0.05;
+  settings.mMaxQualityDrop = 0.05;
   settings.mMaxLatencyRatio = kMaximumLatencyRatio;
   return settings;
 }
@@ -48,14 +53,27 @@
   return InSeconds(aElapsed) / std::max(0.001, InSeconds(aOrder.mDuration));
 }
 
+/// Whether aBad of the new version's aTrials are no more than the old version's
+/// would be by chance. A fixed margin would be too wide for many trials and too
+/// narrow for few.
+bool MayBeChance(double aBad, double aTrials, double aOldBad, double aOldTrials)
+{
+  const double oldShare = aOldTrials > 0 ? aOldBad / aOldTrials : 0;
+  const double standardError = std::sqrt(aTrials * oldShare * (1 - oldShare));
+  return aBad <= kAllowedErrors + (oldShare + kAllowedErrorIncrease) * aTrials +
+                   kAllowedStandardErrors * standardError;
+}
+
 bool PassesWithFewSamples(const TrafficShiftEvidence& aEvidence)
 {
-  const double oldShare = aEvidence.mOld.mAnswers > 0
-                            ? aEvidence.mOld.mErrors / aEvidence.mOld.mAnswers
-                            : 0;
-  return aEvidence.mNew.mErrors <=
-         kFewSamplesAllowedFailures +
-           (oldShare + kFewSamplesErrorSlack) * aEvidence.mNew.mAnswers;
+  const EvidenceCell& before = aEvidence.mOld;
+  const EvidenceCell& after = aEvidence.mNew;
+  return MayBeChance(
+           after.mErrors, after.mAnswers, before.mErrors, before.mAnswers) &&
+         MayBeChance(after.mRated - after.mGood,
+                     after.mRated,
+                     before.mRated - before.mGood,
+                     before.mRated);
 }
 
 } // namespace
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -56,6 +56,9 @@
   /// First quartile of the seconds to the first event per prompt token, which
   /// approximates an engine with little other work; 0 before the first sample.
   double mLowQuartileSecondsPerToken = 0;
+  /// Smoothed time from one event of a stream to the next; 0 before the first
+  /// sample.
+  double mSecondsPerEvent = 0;
 
   auto operator<=>(const PoolLatencyModel&) const = default;
 };
@@ -181,6 +184,13 @@
   double LowQuartilePromptSeconds(const std::string& aPool,
                                   const AttemptWork& aWork) const;
 
+  /// Usual time from one event of a stream to the next; 0: not known.
+  double UsualSecondsPerEvent(const std::string& aPool,
+                              const AttemptWork& aWork) const;
+  void RecordSecondsPerEvent(const std::string& aPool,
+                             const AttemptWork& aWork,
+                             double aSeconds);
+
   /// Smoothed ratio of the time to the first event to its goal in the pool. It
   /// shows whether the engines have spare capacity.
   double FirstEventGoalRatio(const std::string& aPool) const;
