Leave endpoints that say in their answers that they are about to stop

From the head of such an answer on, this VM selects the endpoint no more.

Three tests of EndpointRegistry cover prefix homes, restarts and the bound of the memory.

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -54,6 +54,13 @@
 /// fails.
 constexpr std::uint32_t kLocalSampleSize = 3;
 constexpr std::uint32_t kRemoteSampleSize = 1;
+/// How long an endpoint that left is remembered after it was last listed. An
+/// older snapshot or an older copy of the store may list it again some seconds
+/// later.
+constexpr Duration kLeavingEndpointMemory = std::chrono::seconds(60);
+/// Number of endpoints that left above which the one that was listed least
+/// recently is forgotten.
+constexpr std::size_t kMaximumLeavingEndpoints = 1024;
 /// Maximum share of a pool's endpoints that may be ejected. If more of them
 /// fail, the cause is probably not in the endpoints.
 constexpr double kMaximumEjectedShare = 0.5;
@@ -73,6 +80,11 @@
   return XXH3_64bits(aText.data(), aText.size());
 }
 
+EndpointLifetime LifetimeOf(const EndpointRecord& aRecord)
+{
+  return { aRecord.mId, aRecord.mIncarnation, aRecord.mAddress };
+}
+
 bool CachesPrefix(const Endpoint& aEndpoint,
                   std::uint64_t aHash,
                   TimePoint aNow)
@@ -84,7 +96,32 @@
 
 } // namespace
 
-void EndpointRegistry::Replace(const std::vector<EndpointRecord>& aRecords)
+bool EndpointRegistry::RecordLeaving(Endpoint& aEndpoint, TimePoint aNow)
+{
+  const bool isNews = !aEndpoint.mIsLeaving;
+  aEndpoint.mIsLeaving = true;
+  mLeavingEndpoints[LifetimeOf(aEndpoint.mRecord)] = aNow;
+  ForgetLeavingEndpoints(aNow);
+  return isNews;
+}
+
+void EndpointRegistry::ForgetLeavingEndpoints(TimePoint aNow)
+{
+  std::erase_if(mLeavingEndpoints, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kLeavingEndpointMemory;
+  });
+  if (mLeavingEndpoints.size() > kMaximumLeavingEndpoints) {
+    mLeavingEndpoints.erase(
+      std::min_element(mLeavingEndpoints.begin(),
+                       mLeavingEndpoints.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.second < aRight.second;
+                       }));
+  }
+}
+
+void EndpointRegistry::Replace(const std::vector<EndpointRecord>& aRecords,
+                               TimePoint aNow)
 {
   std::map<std::string, std::shared_ptr<Endpoint>> next;
   for (const EndpointRecord& record : aRecords) {
@@ -95,8 +132,14 @@
       known->second->mRecord.mAddress == record.mAddress;
     auto endpoint = sameLifetime ? known->second : std::make_shared<Endpoint>();
     endpoint->mRecord = record;
+    const auto leaving = mLeavingEndpoints.find(LifetimeOf(record));
+    if (leaving != mLeavingEndpoints.end()) {
+      leaving->second = aNow;
+      endpoint->mIsLeaving = true;
+    }
     next.emplace(record.mId, std::move(endpoint));
   }
+  ForgetLeavingEndpoints(aNow);
   for (const auto& [id, endpoint] : mEndpoints) {
     const auto kept = next.find(id);
     endpoint->mIsRemoved = kept == next.end() || kept->second != endpoint;
@@ -190,6 +233,7 @@
   for (std::uint32_t index = 0; index < all.size(); ++index) {
     const Endpoint& endpoint = *all[index];
     const bool isAllowed = !endpoint.mRecord.mIsDraining &&
+                           !endpoint.mIsLeaving &&
                            (!aQuery.mAcceptsVersion ||
                             aQuery.mAcceptsVersion(endpoint.mRecord.mVersion));
     const bool wasTried = std::find(aQuery.mTriedEndpoints.begin(),
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -90,6 +90,7 @@
 
   // ExchangeResponses.cpp: handling of the endpoints' responses.
   void OnHead(Attempt& aAttempt, const ResponseHead& aHead);
+  void OnEndpointLeaving(const Attempt& aAttempt);
   void OnBody(Attempt& aAttempt, std::string_view aBytes);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
   void OnEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents);
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -143,6 +143,9 @@
     mState->mRegistry.RecordLoad(
       *aAttempt.mEndpoint, *aAttempt.mResponseInfo.mLoad, MonotonicNow());
   }
+  if (aAttempt.mResponseInfo.mIsEndpointLeaving) {
+    OnEndpointLeaving(aAttempt);
+  }
   const bool isValid = IsSuccess(aHead) &&
                        aAttempt.mResponseInfo.mHasEndpointStamp &&
                        aAttempt.mResponseInfo.mMatchesRequest &&
@@ -160,6 +163,25 @@
   }
 }
 
+void Exchange::OnEndpointLeaving(const Attempt& aAttempt)
+{
+  Endpoint& endpoint = *aAttempt.mEndpoint;
+  if (!mState->mRegistry.RecordLeaving(endpoint, MonotonicNow())) {
+    return;
+  }
+  mState->mMetrics.Count("acaciavale_relay_leaving_endpoints_total",
+                         { { "pool", mPool } });
+  Log(LogLevel::Info,
+      "relay",
+      "An endpoint stated in a response that it is about to stop.",
+      { { "endpoint", endpoint.mRecord.mId },
+        { "pool", mPool },
+        { "id", mRequest.mId },
+        { "status", std::to_string(aAttempt.mHead.result_int()) },
+        { "listed-as", endpoint.mRecord.mIsDraining ? "draining" : "ready" },
+        { "open-attempts", std::to_string(endpoint.mInFlight) } });
+}
+
 void Exchange::Escalate(Attempt& aAttempt, std::size_t aModel)
 {
   const std::size_t previousModel = mModel;
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -72,7 +72,7 @@
     }
     mState->mSettings = std::move(aView.mSettings);
   }
-  mState->mRegistry.Replace(aView.mEndpoints);
+  mState->mRegistry.Replace(aView.mEndpoints, MonotonicNow());
   for (const auto& [pool, shift] : aView.mTrafficShifts) {
     const auto known = mState->mTrafficShifts.find(pool);
     const bool isNewOrder =
--- a/Tests/LibRelay/TestEndpointRegistry.cpp
+++ b/Tests/LibRelay/TestEndpointRegistry.cpp
@@ -46,30 +46,86 @@
 {
   EndpointRecord leaving = Record("leaving");
   leaving.mIsDraining = true;
-  mRegistry.Replace({ leaving, Record("stays") });
+  mRegistry.Replace({ leaving, Record("stays") }, At(0));
   for (int draw = 0; draw < 20; ++draw) {
     STRCMP_EQUAL("stays", ChooseAt(0).c_str());
   }
-  mRegistry.Replace({ leaving });
+  mRegistry.Replace({ leaving }, At(0));
   STRCMP_EQUAL("", ChooseAt(0).c_str());
 }
 
+/// An older snapshot, or an older copy of the store, may list the endpoint
+/// again. A restart under the same id and another endpoint at the same address
+/// are not meant.
+TEST(EndpointRegistry, AnEndpointThatSaidThatItLeavesIsNotSelectedAgain)
+{
+  mRegistry.Replace({ Record("leaves") }, At(0));
+  Endpoint& endpoint = *mRegistry.EndpointsOf("pool").front();
+  CHECK(mRegistry.RecordLeaving(endpoint, At(0)));
+  CHECK_FALSE(mRegistry.RecordLeaving(endpoint, At(0)));
+  STRCMP_EQUAL("", ChooseAt(0).c_str());
+  mRegistry.Replace({}, At(1));
+  mRegistry.Replace({ Record("leaves") }, At(20));
+  STRCMP_EQUAL("", ChooseAt(20).c_str());
+  mRegistry.Replace({ Record("leaves"), Record("other") }, At(21));
+  STRCMP_EQUAL("other", ChooseAt(21).c_str());
+  EndpointRecord restarted = Record("leaves");
+  restarted.mIncarnation = 7;
+  mRegistry.Replace({ restarted }, At(22));
+  STRCMP_EQUAL("leaves", ChooseAt(22).c_str());
+}
+
+/// The home of a prompt prefix and the endpoint that caches it are left too.
+TEST(EndpointRegistry, AnEndpointThatSaidThatItLeavesIsNoHomeOfAPrefix)
+{
+  mRegistry.Replace({ Record("leaves"), Record("stays") }, At(0));
+  mQuery.mWork.mSharedPrefixHash = 5;
+  mQuery.mWork.mSharedPrefixTokens = 5000;
+  for (const auto& endpoint : mRegistry.EndpointsOf("pool")) {
+    if (endpoint->mRecord.mId == "leaves") {
+      mRegistry.RecordAttempt(*endpoint, mQuery.mWork, At(0));
+      mRegistry.RecordLeaving(*endpoint, At(0));
+    }
+  }
+  for (int draw = 0; draw < 20; ++draw) {
+    STRCMP_EQUAL("stays", ChooseAt(1).c_str());
+  }
+}
+
+TEST(EndpointRegistry, EndpointsThatLeftAreForgottenAfterTheirEntriesLapsed)
+{
+  for (int id = 0; id < 3000; ++id) {
+    mRegistry.Replace({ Record(std::to_string(id)) }, At(id * 0.001));
+    mRegistry.RecordLeaving(*mRegistry.EndpointsOf("pool").front(),
+                            At(id * 0.001));
+  }
+  // The memory is bounded, so the earliest are forgotten.
+  mRegistry.Replace({ Record("0") }, At(4));
+  STRCMP_EQUAL("0", ChooseAt(4).c_str());
+  mRegistry.Replace({ Record("2999") }, At(5));
+  STRCMP_EQUAL("", ChooseAt(5).c_str());
+  mRegistry.Replace({}, At(6));
+  mRegistry.Replace({}, At(100));
+  mRegistry.Replace({ Record("2999") }, At(101));
+  STRCMP_EQUAL("2999", ChooseAt(101).c_str());
+}
+
 TEST(EndpointRegistry, RestartUnderTheSameIdResetsTheObservations)
 {
   EndpointRecord record = Record("one");
   record.mIncarnation = 100;
-  mRegistry.Replace({ record });
+  mRegistry.Replace({ record }, At(0));
   const EndpointSelection selection = mRegistry.Choose(mQuery, mRandom, At(0));
   mRegistry.RecordAttempt(*selection.mEndpoint, {}, At(0));
   record.mIncarnation = 200;
-  mRegistry.Replace({ record });
+  mRegistry.Replace({ record }, At(0));
   CHECK(selection.mEndpoint->mIsRemoved);
   LONGS_EQUAL(0, mRegistry.EndpointsOf("pool")[0]->mInFlight);
 }
 
 TEST(EndpointRegistry, FailingEndpointIsSelectedOnlyAsTheLastOne)
 {
-  mRegistry.Replace({ Record("bad"), Record("good") });
+  mRegistry.Replace({ Record("bad"), Record("good") }, At(0));
   for (const auto& endpoint : mRegistry.EndpointsOf("pool")) {
     if (endpoint->mRecord.mId == "bad") {
       for (int failure = 0; failure < 4; ++failure) {
@@ -82,18 +138,18 @@
   for (int draw = 0; draw < 20; ++draw) {
     STRCMP_EQUAL("good", ChooseAt(0.2).c_str());
   }
-  mRegistry.Replace({ Record("bad") });
+  mRegistry.Replace({ Record("bad") }, At(0));
   STRCMP_EQUAL("bad", ChooseAt(0.2).c_str());
 }
 
 TEST(EndpointRegistry, FullPoolIsDistinguishedFromEmptyPool)
 {
-  mRegistry.Replace({ Record("one") });
+  mRegistry.Replace({ Record("one") }, At(0));
   mQuery.mMaximumInFlight = 1;
   const EndpointSelection selection = mRegistry.Choose(mQuery, mRandom, At(0));
   mRegistry.RecordAttempt(*selection.mEndpoint, {}, At(0));
   CHECK(mRegistry.Choose(mQuery, mRandom, At(0)).mIsFull);
-  mRegistry.Replace({});
+  mRegistry.Replace({}, At(0));
   CHECK_FALSE(mRegistry.Choose(mQuery, mRandom, At(0)).mIsFull);
 }
 
@@ -101,7 +157,7 @@
 /// VM rarely receives a load report from a given endpoint itself.
 TEST(EndpointRegistry, LoadReportsFromOtherVmsKeepRequestsOffABusyEndpoint)
 {
-  mRegistry.Replace({ Record("busy"), Record("idle") });
+  mRegistry.Replace({ Record("busy"), Record("idle") }, At(0));
   mRegistry.ApplyLoadReports(
     { { "busy", { 8, 0, 8 }, std::chrono::milliseconds(100) },
       { "gone", { 1, 0, 8 }, {} } },
@@ -123,7 +179,7 @@
 {
   // Both engines have the same number of requests. On one of them all requests
   // run; on the other, long prompts wait ahead of the next one.
-  mRegistry.Replace({ Record("runs"), Record("waits") });
+  mRegistry.Replace({ Record("runs"), Record("waits") }, At(0));
   mQuery.mWork.mPromptTokens = 1000;
   for (const auto& endpoint : mRegistry.EndpointsOf("pool")) {
     const bool waits = endpoint->mRecord.mId == "waits";
@@ -142,7 +198,7 @@
 
 TEST(EndpointRegistry, OwnWaitingPromptsAreNotCountedTwice)
 {
-  mRegistry.Replace({ Record("one") });
+  mRegistry.Replace({ Record("one") }, At(0));
   mQuery.mWork.mPromptTokens = 1000;
   const auto endpoint = mRegistry.EndpointsOf("pool")[0];
   for (int send = 0; send < 4; ++send) {
@@ -169,7 +225,7 @@
   for (std::size_t id = 0; id < records.size(); ++id) {
     records[id] = Record(std::to_string(100 + id));
   }
-  mRegistry.Replace(records);
+  mRegistry.Replace(records, At(0));
   mQuery.mWork.mPromptTokens = 1000;
   mQuery.mFailureDomain = "a";
   for (const auto& endpoint : mRegistry.EndpointsOf("pool")) {
@@ -201,8 +257,8 @@
     records.push_back(Record("engine-" + std::to_string(engine)));
   }
   EndpointRegistry other;
-  mRegistry.Replace(records);
-  other.Replace(records);
+  mRegistry.Replace(records, At(0));
+  other.Replace(records, At(0));
   Random otherRandom(99);
   mQuery.mWork.mPromptTokens = 12000;
   mQuery.mWork.mSharedPrefixTokens = 5400;
@@ -227,7 +283,7 @@
     records.push_back(
       Record((engine < 2 ? "slow-" : "quick-") + std::to_string(engine)));
   }
-  mRegistry.Replace(records);
+  mRegistry.Replace(records, At(0));
   mQuery.mWork.mPromptTokens = 1000;
   int slow = 0;
   constexpr int kRequests = 1200;
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -52,12 +52,21 @@
 
 ResponseHead Replica::SuccessHead(const ClientSession& aSession) const
 {
-  ResponseHead head = MakeHead(200);
+  ResponseHead head = RefusalHead(200);
   head.set("Attempt-Id", aSession.OpenRequest()["Attempt-Id"]);
   head.set("Replica-Stamp", "stamp-of-" + mId);
   return head;
 }
 
+ResponseHead Replica::RefusalHead(unsigned aStatus) const
+{
+  ResponseHead head = MakeHead(aStatus);
+  if (mSaysThatItLeaves) {
+    head.set("Server-Leaving", "1");
+  }
+  return head;
+}
+
 Replica::Script RespondWith(std::string aBody)
 {
   return [body = std::move(aBody)](Replica& aSelf, const auto& aSession) {
@@ -67,8 +76,8 @@
 
 Replica::Script RefuseWith(unsigned aStatus, bool aSetsNotExecuted)
 {
-  return [=](Replica&, const auto& aSession) {
-    ResponseHead head = MakeHead(aStatus);
+  return [=](Replica& aSelf, const auto& aSession) {
+    ResponseHead head = aSelf.RefusalHead(aStatus);
     if (aSetsNotExecuted) {
       head.set("Not-Executed", "1");
     }
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -99,6 +99,8 @@
   const std::string& Id() const { return mId; }
   std::string Address() const { return mListener.Address(); }
   void SetScript(Script aScript) { mScript = std::move(aScript); }
+  /// Whether all responses state that the endpoint is about to stop.
+  void SetSaysThatItLeaves(bool aSays) { mSaysThatItLeaves = aSays; }
 
   /// A request that arrived at the endpoint.
   struct Arrival
@@ -112,10 +114,13 @@
 
   /// Returns the head of a successful response to the open request.
   Relay::ResponseHead SuccessHead(const Relay::ClientSession& aSession) const;
+  /// Returns the head of a response without the endpoint's stamp.
+  Relay::ResponseHead RefusalHead(unsigned aStatus) const;
 
 private:
   std::string mId;
   Script mScript;
+  bool mSaysThatItLeaves = false;
   Relay::Listener mListener;
 };
 
--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -80,6 +80,8 @@
   bool mHasEndpointStamp = false;
   bool mMatchesRequest = false; ///< The response carries the id of the request.
   bool mIsContentEncoded = false; ///< The body has a content encoding.
+  /// The endpoint states that it is about to stop.
+  bool mIsEndpointLeaving = false;
   std::optional<ReportedLoad> mLoad;
   /// Confidence of the model in its answer, 0 to 1.
   std::optional<double> mConfidence;
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -68,6 +68,8 @@
 struct Endpoint
 {
   EndpointRecord mRecord;
+  /// The endpoint has stated in a response that it is about to stop.
+  bool mIsLeaving = false;
   /// The endpoint is no longer in the platform's list.
   bool mIsRemoved = false;
   std::int32_t mInFlight = 0; ///< Open attempts of this VM.
@@ -89,6 +91,17 @@
   std::map<std::uint64_t, TimePoint> mSharedPrefixes;
 };
 
+/// One lifetime of an endpoint: a restart changes the incarnation, and another
+/// endpoint may get the address.
+struct EndpointLifetime
+{
+  std::string mId;
+  std::int64_t mIncarnation = 0;
+  std::string mAddress;
+
+  auto operator<=>(const EndpointLifetime&) const = default;
+};
+
 /// The outcome of an attempt, as evidence of the endpoint's health.
 struct AttemptOutcome
 {
@@ -141,7 +154,12 @@
 public:
   /// Replaces the endpoints by the platform's list. The observations of an
   /// endpoint that was not restarted are kept.
-  void Replace(const std::vector<EndpointRecord>& aRecords);
+  void Replace(const std::vector<EndpointRecord>& aRecords, TimePoint aNow);
+
+  /// Records that the endpoint has stated in a response that it is about to
+  /// stop. It is not selected again, whatever the platform's list says: the
+  /// list may be older than the response. Returns whether this is news.
+  bool RecordLeaving(Endpoint& aEndpoint, TimePoint aNow);
 
   std::vector<std::shared_ptr<Endpoint>> EndpointsOf(
     const std::string& aPool) const;
@@ -204,8 +222,14 @@
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
+  /// Forgets endpoints that left and have not been listed for long.
+  void ForgetLeavingEndpoints(TimePoint aNow);
+
   /// Endpoints by id.
   std::map<std::string, std::shared_ptr<Endpoint>> mEndpoints;
+  /// The endpoints that have stated that they are about to stop, with the time
+  /// at which they were last listed.
+  std::map<EndpointLifetime, TimePoint> mLeavingEndpoints;
   /// Latency models by pool and model.
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
