Follow the quiet time that an endpoint asks for with its 503

An endpoint that turns a request away may state in Retry-After for how long it wants nothing. The code ignored it, so waiting requests were started there at once, a list that showed the endpoint again ended nothing, and callers who were refused because all endpoints wanted quiet were told to come back in tenths of a second.

EndpointQuiet holds the decisions as pure functions: parsing with a limit of 30 s, the end spread over the VMs, and a return with one request first. The registry counts none of the endpoint's places meanwhile, and requests that no endpoint may take are refused at once with the earliest end.

--- a/Benchmarks/DecisionMeasureParts/EngineSimulation.cpp
+++ b/Benchmarks/DecisionMeasureParts/EngineSimulation.cpp
@@ -96,7 +96,7 @@
       records.push_back(record);
     }
     for (EndpointRegistry& registry : mRegistries) {
-      registry.Replace(records);
+      registry.Replace(records, TimePoint{});
     }
     for (std::uint32_t& position : mRoundRobinPositions) {
       position = mRandom.Below(aScenario.mEngines);
--- /dev/null
+++ b/Libraries/LibRelay/EndpointAnnouncements.cpp
@@ -0,0 +1,55 @@
+#include <Acaciavale/LibRelay/EndpointAnnouncements.h>
+
+#include <algorithm>
+
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// How long an announcement is kept after the endpoint was last listed. An
+/// older snapshot or an older copy of the store may list it again some seconds
+/// later.
+constexpr Duration kMemoryOfUnlisted = std::chrono::seconds(60);
+/// Number of announcements above which that of the endpoint that was listed
+/// least recently is forgotten.
+constexpr std::size_t kMaximumEntries = 1024;
+
+} // namespace
+
+void Remember(AnnouncementMemory& aMemory,
+              const EndpointLifetime& aLifetime,
+              const EndpointAnnouncement& aAnnouncement,
+              TimePoint aNow)
+{
+  auto& entries = aMemory.mEntries;
+  entries[aLifetime] = { aAnnouncement, aNow };
+  if (entries.size() > kMaximumEntries) {
+    entries.erase(std::min_element(entries.begin(),
+                                   entries.end(),
+                                   [](const auto& aLeft, const auto& aRight) {
+                                     return aLeft.second.mKnownAt <
+                                            aRight.second.mKnownAt;
+                                   }));
+  }
+}
+
+EndpointAnnouncement Recall(AnnouncementMemory& aMemory,
+                            const EndpointLifetime& aLifetime,
+                            TimePoint aNow)
+{
+  const auto found = aMemory.mEntries.find(aLifetime);
+  if (found == aMemory.mEntries.end()) {
+    return {};
+  }
+  found->second.mKnownAt = aNow;
+  return found->second.mAnnouncement;
+}
+
+void ForgetUnlisted(AnnouncementMemory& aMemory, TimePoint aNow)
+{
+  std::erase_if(aMemory.mEntries, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.mKnownAt > kMemoryOfUnlisted;
+  });
+}
+
+} // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <xxhash.h>
 
 namespace Acaciavale::Relay {
@@ -54,13 +55,8 @@
 /// fails.
 constexpr std::uint32_t kLocalSampleSize = 3;
 constexpr std::uint32_t kRemoteSampleSize = 1;
-/// How long an endpoint that left is remembered after it was last listed. An
-/// older snapshot or an older copy of the store may list it again some seconds
-/// later.
-constexpr Duration kLeavingEndpointMemory = std::chrono::seconds(60);
-/// Number of endpoints that left above which the one that was listed least
-/// recently is forgotten.
-constexpr std::size_t kMaximumLeavingEndpoints = 1024;
+/// Open attempts at an endpoint if the query has no limit.
+constexpr std::int32_t kUnlimited = std::numeric_limits<std::int32_t>::max();
 /// Maximum share of a pool's endpoints that may be ejected. If more of them
 /// fail, the cause is probably not in the endpoints.
 constexpr double kMaximumEjectedShare = 0.5;
@@ -98,26 +94,28 @@
 
 bool EndpointRegistry::RecordLeaving(Endpoint& aEndpoint, TimePoint aNow)
 {
-  const bool isNews = !aEndpoint.mIsLeaving;
-  aEndpoint.mIsLeaving = true;
-  mLeavingEndpoints[LifetimeOf(aEndpoint.mRecord)] = aNow;
-  ForgetLeavingEndpoints(aNow);
+  const bool isNews = !aEndpoint.mAnnouncement.mIsLeaving;
+  aEndpoint.mAnnouncement.mIsLeaving = true;
+  Remember(mAnnouncements,
+           LifetimeOf(aEndpoint.mRecord),
+           aEndpoint.mAnnouncement,
+           aNow);
   return isNews;
 }
 
-void EndpointRegistry::ForgetLeavingEndpoints(TimePoint aNow)
+bool EndpointRegistry::RecordQuietTime(Endpoint& aEndpoint,
+                                       Duration aAsked,
+                                       double aJitter,
+                                       TimePoint aNow)
 {
-  std::erase_if(mLeavingEndpoints, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second > kLeavingEndpointMemory;
-  });
-  if (mLeavingEndpoints.size() > kMaximumLeavingEndpoints) {
-    mLeavingEndpoints.erase(
-      std::min_element(mLeavingEndpoints.begin(),
-                       mLeavingEndpoints.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second < aRight.second;
-                       }));
-  }
+  QuietPeriod& quiet = aEndpoint.mAnnouncement.mQuiet;
+  const bool isNews = !IsQuiet(quiet, aNow);
+  quiet = WithQuietTime(quiet, aAsked, aJitter, aNow);
+  Remember(mAnnouncements,
+           LifetimeOf(aEndpoint.mRecord),
+           aEndpoint.mAnnouncement,
+           aNow);
+  return isNews;
 }
 
 void EndpointRegistry::Replace(const std::vector<EndpointRecord>& aRecords,
@@ -132,14 +130,13 @@
       known->second->mRecord.mAddress == record.mAddress;
     auto endpoint = sameLifetime ? known->second : std::make_shared<Endpoint>();
     endpoint->mRecord = record;
-    const auto leaving = mLeavingEndpoints.find(LifetimeOf(record));
-    if (leaving != mLeavingEndpoints.end()) {
-      leaving->second = aNow;
-      endpoint->mIsLeaving = true;
+    if (!sameLifetime) {
+      endpoint->mAnnouncement =
+        Recall(mAnnouncements, LifetimeOf(record), aNow);
     }
     next.emplace(record.mId, std::move(endpoint));
   }
-  ForgetLeavingEndpoints(aNow);
+  ForgetUnlisted(mAnnouncements, aNow);
   for (const auto& [id, endpoint] : mEndpoints) {
     const auto kept = next.find(id);
     endpoint->mIsRemoved = kept == next.end() || kept->second != endpoint;
@@ -230,21 +227,35 @@
   std::vector<EndpointView> views;
   std::uint32_t full = 0;
   std::uint32_t usable = 0;
+  std::optional<TimePoint> quietUntil;
+  bool allWantQuiet = true;
   for (std::uint32_t index = 0; index < all.size(); ++index) {
     const Endpoint& endpoint = *all[index];
     const bool isAllowed = !endpoint.mRecord.mIsDraining &&
-                           !endpoint.mIsLeaving &&
+                           !endpoint.mAnnouncement.mIsLeaving &&
                            (!aQuery.mAcceptsVersion ||
                             aQuery.mAcceptsVersion(endpoint.mRecord.mVersion));
+    if (!isAllowed) {
+      continue;
+    }
+    const QuietPeriod& quiet = endpoint.mAnnouncement.mQuiet;
+    if (IsQuiet(quiet, aNow)) {
+      quietUntil = std::min(quietUntil.value_or(quiet.mEndsAt), quiet.mEndsAt);
+      continue;
+    }
+    allWantQuiet = false;
     const bool wasTried = std::find(aQuery.mTriedEndpoints.begin(),
                                     aQuery.mTriedEndpoints.end(),
                                     &endpoint) != aQuery.mTriedEndpoints.end();
-    if (!isAllowed || wasTried) {
+    if (wasTried) {
       continue;
     }
     ++usable;
-    if (aQuery.mMaximumInFlight > 0 &&
-        endpoint.mInFlight >= aQuery.mMaximumInFlight) {
+    const std::int32_t places = PlacesAfterQuiet(
+      quiet,
+      aQuery.mMaximumInFlight > 0 ? aQuery.mMaximumInFlight : kUnlimited,
+      aNow);
+    if (endpoint.mInFlight >= places) {
       ++full;
       continue;
     }
@@ -308,6 +319,9 @@
   const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
   EndpointSelection selection;
   selection.mIsFull = usable > 0 && full == usable;
+  if (allWantQuiet) {
+    selection.mQuietUntil = quietUntil;
+  }
   selection.mReason = decision.mReason;
   if (decision.mIndex) {
     selection.mEndpoint = all[*decision.mIndex];
@@ -325,6 +339,7 @@
                                      TimePoint aNow)
 {
   aEndpoint.mInFlight += 1;
+  aEndpoint.mLastAttemptAt = aNow;
   aEndpoint.mWaitingPromptTokens += aWork.mPromptTokens;
   aEndpoint.mWaitingAttempts += 1;
   if (aWork.mSharedPrefixHash != 0) {
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -218,6 +218,7 @@
       break;
     }
   }
+  mQuietUntil = selection.mQuietUntil;
   return selection;
 }
 
@@ -305,6 +306,7 @@
   attempt.mModel = mModel;
   attempt.mWork = AttemptWorkFor(mModel);
   attempt.mStartedAt = now;
+  LogEndOfQuiet(*attempt.mEndpoint);
   BeginEvidence(attempt);
   mTriedEndpoints.push_back(attempt.mEndpoint.get());
   mState->mRegistry.RecordAttempt(*attempt.mEndpoint, attempt.mWork, now);
@@ -366,6 +368,10 @@
     Refuse(502, "the endpoints gave no answer");
     return;
   }
+  if (mQuietUntil) {
+    RefuseUntilQuietEnds(*mQuietUntil);
+    return;
+  }
   const PoolQueue& queue = mState->mQueues[mPool];
   Refuse(503,
          mQueueTicket ? "no place came free in time" : "no endpoint took it",
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -90,7 +90,6 @@
 
   // ExchangeResponses.cpp: handling of the endpoints' responses.
   void OnHead(Attempt& aAttempt, const ResponseHead& aHead);
-  void OnEndpointLeaving(const Attempt& aAttempt);
   void OnBody(Attempt& aAttempt, std::string_view aBytes);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
   void OnEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents);
@@ -100,6 +99,11 @@
   Duration FirstEventTimeout(double aExpectedSeconds) const;
   AttemptEnd Classify(const Attempt& aAttempt, CallResult aResult) const;
   void CloseAttempt(Attempt& aAttempt, AttemptEnd aEnd);
+  // ExchangeAnnouncements.cpp: what endpoints state about themselves.
+  void OnEndpointLeaving(const Attempt& aAttempt);
+  void OnEndpointQuiet(const Attempt& aAttempt);
+  void LogEndOfQuiet(const Endpoint& aEndpoint) const;
+  void RefuseUntilQuietEnds(TimePoint aEnd);
   // ExchangeEvidence.cpp: evidence on the versions of a roll-out.
   void BeginEvidence(Attempt& aAttempt);
   void EndEvidence(Attempt& aAttempt, AttemptEnd aEnd);
@@ -133,6 +137,8 @@
   bool mHasWaitedForView = false;
   std::optional<WaitTicket> mQueueTicket;
   std::optional<std::int64_t> mLastEventId;
+  /// Earliest end of the quiet times, if all endpoints wanted quiet.
+  std::optional<TimePoint> mQuietUntil;
   /// Latest error response of an endpoint, for the caller if no retry succeeds.
   std::optional<ResponseHead> mErrorResponseHead;
   std::string mErrorResponseBody;
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -146,6 +146,10 @@
   if (aAttempt.mResponseInfo.mIsEndpointLeaving) {
     OnEndpointLeaving(aAttempt);
   }
+  const QuietTime& quiet = aAttempt.mResponseInfo.mQuietTime;
+  if (quiet.mDuration > Duration{} || !quiet.mProblem.empty()) {
+    OnEndpointQuiet(aAttempt);
+  }
   const bool isValid = IsSuccess(aHead) &&
                        aAttempt.mResponseInfo.mHasEndpointStamp &&
                        aAttempt.mResponseInfo.mMatchesRequest &&
@@ -163,25 +167,6 @@
   }
 }
 
-void Exchange::OnEndpointLeaving(const Attempt& aAttempt)
-{
-  Endpoint& endpoint = *aAttempt.mEndpoint;
-  if (!mState->mRegistry.RecordLeaving(endpoint, MonotonicNow())) {
-    return;
-  }
-  mState->mMetrics.Count("acaciavale_relay_leaving_endpoints_total",
-                         { { "pool", mPool } });
-  Log(LogLevel::Info,
-      "relay",
-      "An endpoint stated in a response that it is about to stop.",
-      { { "endpoint", endpoint.mRecord.mId },
-        { "pool", mPool },
-        { "id", mRequest.mId },
-        { "status", std::to_string(aAttempt.mHead.result_int()) },
-        { "listed-as", endpoint.mRecord.mIsDraining ? "draining" : "ready" },
-        { "open-attempts", std::to_string(endpoint.mInFlight) } });
-}
-
 void Exchange::Escalate(Attempt& aAttempt, std::size_t aModel)
 {
   const std::size_t previousModel = mModel;
@@ -325,7 +310,12 @@
   AttemptOutcome outcome;
   outcome.mFailed =
     aEnd != AttemptEnd::Answered && aEnd != AttemptEnd::Cancelled;
-  outcome.mCountsAsEvidence = aEnd != AttemptEnd::Cancelled;
+  // NOTE: An endpoint that asks for quiet is well. Ejecting it would prolong
+  // the
+  //       time that it asked for.
+  outcome.mCountsAsEvidence =
+    aEnd != AttemptEnd::Cancelled &&
+    aAttempt.mResponseInfo.mQuietTime.mDuration == Duration{};
   outcome.mFirstEventSeconds = aAttempt.mFirstEventSeconds;
   outcome.mTotalSeconds = InSeconds(now - aAttempt.mStartedAt);
   mState->mRegistry.RecordEnd(*aAttempt.mEndpoint,
--- a/Tests/LibRelay/TestEndpointRegistry.cpp
+++ b/Tests/LibRelay/TestEndpointRegistry.cpp
@@ -75,6 +75,30 @@
   STRCMP_EQUAL("leaves", ChooseAt(22).c_str());
 }
 
+/// The places of an endpoint that wants quiet do not count, and afterwards it
+/// gets few requests at first.
+TEST(EndpointRegistry, AnEndpointThatWantsQuietReturnsWithFewRequests)
+{
+  mRegistry.Replace({ Record("quiet") }, At(0));
+  mQuery.mMaximumInFlight = 8;
+  Endpoint& endpoint = *mRegistry.EndpointsOf("pool").front();
+  CHECK(mRegistry.RecordQuietTime(endpoint, std::chrono::seconds(2), 0, At(0)));
+  CHECK_FALSE(
+    mRegistry.RecordQuietTime(endpoint, std::chrono::seconds(2), 0, At(0)));
+  const EndpointSelection quiet = mRegistry.Choose(mQuery, mRandom, At(1));
+  CHECK(quiet.mEndpoint == nullptr);
+  CHECK_FALSE(quiet.mIsFull);
+  CHECK(quiet.mQuietUntil == At(2));
+  mRegistry.Replace({}, At(1));
+  mRegistry.Replace({ Record("quiet") }, At(1.5));
+  STRCMP_EQUAL("", ChooseAt(1.9).c_str());
+  const EndpointSelection first = mRegistry.Choose(mQuery, mRandom, At(2));
+  CHECK(first.mEndpoint != nullptr);
+  mRegistry.RecordAttempt(*first.mEndpoint, {}, At(2));
+  CHECK(mRegistry.Choose(mQuery, mRandom, At(2.1)).mIsFull);
+  STRCMP_EQUAL("quiet", ChooseAt(2.6).c_str());
+}
+
 /// The home of a prompt prefix and the endpoint that caches it are left too.
 TEST(EndpointRegistry, AnEndpointThatSaidThatItLeavesIsNoHomeOfAPrefix)
 {
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -64,6 +64,9 @@
   if (mSaysThatItLeaves) {
     head.set("Server-Leaving", "1");
   }
+  if (aStatus == 503 && !mRetryAfter.empty()) {
+    head.set(boost::beast::http::field::retry_after, mRetryAfter);
+  }
   return head;
 }
 
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -99,6 +99,9 @@
   const std::string& Id() const { return mId; }
   std::string Address() const { return mListener.Address(); }
   void SetScript(Script aScript) { mScript = std::move(aScript); }
+  /// Sets the text of the header in which responses of status 503 state for how
+  /// long the endpoint wants no requests; empty: no header.
+  void SetRetryAfter(std::string aText) { mRetryAfter = std::move(aText); }
   /// Whether all responses state that the endpoint is about to stop.
   void SetSaysThatItLeaves(bool aSays) { mSaysThatItLeaves = aSays; }
 
@@ -121,6 +124,7 @@
   std::string mId;
   Script mScript;
   bool mSaysThatItLeaves = false;
+  std::string mRetryAfter;
   Relay::Listener mListener;
 };
 
--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRouting/EndpointQuiet.h>
 
 #include <boost/beast/http/message.hpp>
 #include <cstdint>
@@ -82,6 +83,8 @@
   bool mIsContentEncoded = false; ///< The body has a content encoding.
   /// The endpoint states that it is about to stop.
   bool mIsEndpointLeaving = false;
+  /// Time for which the endpoint, which turned the request away, wants no more.
+  QuietTime mQuietTime;
   std::optional<ReportedLoad> mLoad;
   /// Confidence of the model in its answer, 0 to 1.
   std::optional<double> mConfidence;
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -3,6 +3,7 @@
 #include <Acaciavale/LibCore/Random.h>
 #include <Acaciavale/LibCore/Time.h>
 #include <Acaciavale/LibRelay/CallerRequest.h>
+#include <Acaciavale/LibRelay/EndpointAnnouncements.h>
 #include <Acaciavale/LibRelay/PromptLatencyModel.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
 #include <Acaciavale/LibRouting/EndpointHealth.h>
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,11 +70,11 @@
 struct Endpoint
 {
   EndpointRecord mRecord;
-  /// The endpoint has stated in a response that it is about to stop.
-  bool mIsLeaving = false;
+  EndpointAnnouncement mAnnouncement; ///< From the endpoint's own responses.
   /// The endpoint is no longer in the platform's list.
   bool mIsRemoved = false;
   std::int32_t mInFlight = 0; ///< Open attempts of this VM.
+  TimePoint mLastAttemptAt{}; ///< Start of this VM's latest attempt.
   /// Open attempts of this VM that have not received a first event.
   std::int32_t mWaitingAttempts = 0;
   /// Prompt tokens of these waiting attempts.
@@ -91,17 +93,6 @@
   std::map<std::uint64_t, TimePoint> mSharedPrefixes;
 };
 
-/// One lifetime of an endpoint: a restart changes the incarnation, and another
-/// endpoint may get the address.
-struct EndpointLifetime
-{
-  std::string mId;
-  std::int64_t mIncarnation = 0;
-  std::string mAddress;
-
-  auto operator<=>(const EndpointLifetime&) const = default;
-};
-
 /// The outcome of an attempt, as evidence of the endpoint's health.
 struct AttemptOutcome
 {
@@ -145,6 +136,9 @@
 {
   std::shared_ptr<Endpoint> mEndpoint; ///< Null if no endpoint is available.
   bool mIsFull = false; ///< All usable endpoints are at their limit.
+  /// Earliest end of the quiet times, if all endpoints that may
+  /// run the work want quiet.
+  std::optional<TimePoint> mQuietUntil;
   double mExpectedFirstEventSeconds = 0;
   std::string_view mReason;
 };
@@ -157,10 +151,16 @@
   void Replace(const std::vector<EndpointRecord>& aRecords, TimePoint aNow);
 
   /// Records that the endpoint has stated in a response that it is about to
-  /// stop. It is not selected again, whatever the platform's list says: the
-  /// list may be older than the response. Returns whether this is news.
+  /// stop. It is not selected again. Returns whether this is news.
   bool RecordLeaving(Endpoint& aEndpoint, TimePoint aNow);
 
+  /// Records that the endpoint has turned a request away and asked for quiet.
+  /// aJitter is a random number in [0, 1). Returns whether this is news.
+  bool RecordQuietTime(Endpoint& aEndpoint,
+                       Duration aAsked,
+                       double aJitter,
+                       TimePoint aNow);
+
   std::vector<std::shared_ptr<Endpoint>> EndpointsOf(
     const std::string& aPool) const;
 
@@ -222,14 +222,9 @@
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
-  /// Forgets endpoints that left and have not been listed for long.
-  void ForgetLeavingEndpoints(TimePoint aNow);
-
   /// Endpoints by id.
   std::map<std::string, std::shared_ptr<Endpoint>> mEndpoints;
-  /// The endpoints that have stated that they are about to stop, with the time
-  /// at which they were last listed.
-  std::map<EndpointLifetime, TimePoint> mLeavingEndpoints;
+  AnnouncementMemory mAnnouncements;
   /// Latency models by pool and model.
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
