--- a/Libraries/LibRelay/StoreReaders.cpp
+++ b/Libraries/LibRelay/StoreReaders.cpp
@@ -57,6 +57,7 @@
     std::size_t mVms = 0;
   };
   std::vector<Load> loads;
+  loads.reserve(aReaders.size());
   for (const ListedVm& reader : aReaders) {
     loads.push_back({ &reader, 0 });
   }
--- a/Tests/Platform/TestLeavingEndpoint.cpp
+++ b/Tests/Platform/TestLeavingEndpoint.cpp
@@ -51,7 +51,7 @@
   /// Starts a request and returns its response, which arrives later.
   std::shared_ptr<Response> StartRequest(const std::string& aTarget, int aIndex)
   {
-    const auto response = std::make_shared<Response>();
+    auto response = std::make_shared<Response>();
     mFixture.StartCall({ "POST",
                          aTarget,
                          "body",
@@ -201,6 +201,7 @@
   mLeaves->SetScript(NeverRespond());
   mFixture.StartNode();
   std::vector<std::shared_ptr<Response>> responses;
+  responses.reserve(20);
   for (int request = 0; request < 20; ++request) {
     responses.push_back(StartRequest("/once/x", request));
   }
--- a/Tests/Platform/TestStoreOutage.cpp
+++ b/Tests/Platform/TestStoreOutage.cpp
@@ -61,7 +61,7 @@
   std::string MakeUnreachable(const std::string& aName)
   {
     const std::string key = "vms/" + aName;
-    const std::string entry = *mFixture.mStore.Value(key);
+    std::string entry = *mFixture.mStore.Value(key);
     auto vm = DecodeVm(aName, entry);
     vm->mPeerAddress = mFixture.UnusedAddress();
     mFixture.mStore.Put(key, EncodeVm(*vm));
