Remember an endpoint's word from the time it was last listed

An endpoint that stays listed for over a minute after it said that it leaves was forgotten with its entry, so an older copy of the store could bring it back: the time ran from the word. EndpointRegistry's new test failed before.

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -130,9 +130,10 @@
       known->second->mRecord.mAddress == record.mAddress;
     auto endpoint = sameLifetime ? known->second : std::make_shared<Endpoint>();
     endpoint->mRecord = record;
+    const EndpointAnnouncement recalled =
+      Recall(mAnnouncements, LifetimeOf(record), aNow);
     if (!sameLifetime) {
-      endpoint->mAnnouncement =
-        Recall(mAnnouncements, LifetimeOf(record), aNow);
+      endpoint->mAnnouncement = recalled;
     }
     next.emplace(record.mId, std::move(endpoint));
   }
--- a/Tests/LibRelay/TestEndpointRegistry.cpp
+++ b/Tests/LibRelay/TestEndpointRegistry.cpp
@@ -75,6 +75,20 @@
   STRCMP_EQUAL("leaves", ChooseAt(22).c_str());
 }
 
+/// The memory runs from the time at which the endpoint was last listed, not
+/// from its word.
+TEST(EndpointRegistry, AnEndpointThatStaysListedForLongIsRemembered)
+{
+  mRegistry.Replace({ Record("leaves") }, At(0));
+  mRegistry.RecordLeaving(*mRegistry.EndpointsOf("pool").front(), At(0));
+  for (int seconds = 1; seconds <= 100; ++seconds) {
+    mRegistry.Replace({ Record("leaves") }, At(seconds));
+  }
+  mRegistry.Replace({}, At(101));
+  mRegistry.Replace({ Record("leaves") }, At(110));
+  STRCMP_EQUAL("", ChooseAt(110).c_str());
+}
+
 /// The places of an endpoint that wants quiet do not count, and afterwards it
 /// gets few requests at first.
 TEST(EndpointRegistry, AnEndpointThatWantsQuietReturnsWithFewRequests)
