Look at a new version again before it is completed

The margin for chance is one standard error instead of two, and the evidence has to pass once more before the completion, when all traffic has yielded several times as much.

--- a/Libraries/LibRelay/TrafficShift.cpp
+++ b/Libraries/LibRelay/TrafficShift.cpp
@@ -30,7 +30,7 @@
 /// version. Other load on the endpoints alone causes it.
 constexpr double kAllowedErrorIncrease = 0.02;
 /// Standard errors of the number of errors that are attributed to chance.
-constexpr double kAllowedStandardErrors = 2;
+constexpr double kAllowedStandardErrors = 1;
 /// Maximum ratio of the new version's latency to the old version's. Different
 /// load alone causes ratios of up to two.
 constexpr double kMaximumLatencyRatio = 2.5;
@@ -64,7 +64,7 @@
                    kAllowedStandardErrors * standardError;
 }
 
-bool PassesWithFewSamples(const TrafficShiftEvidence& aEvidence)
+bool MayBeAsGood(const TrafficShiftEvidence& aEvidence)
 {
   const EvidenceCell& before = aEvidence.mOld;
   const EvidenceCell& after = aEvidence.mNew;
@@ -181,12 +181,18 @@
   }
   const double elapsedShare = ElapsedShare(aShift.mOrder, aElapsed);
   if (aShift.mStage == TrafficShiftStage::Shift) {
-    return elapsedShare >= kCompletionShare
+    if (elapsedShare < kCompletionShare) {
+      return { TrafficShiftStage::Shift,
+               "Open requests finish on the old version." };
+    }
+    // NOTE: The shift may have been decided by few answers. All traffic yields
+    //       many more before the old version is stopped.
+    return MayBeAsGood(aEvidence)
              ? TrafficShiftDecision{ TrafficShiftStage::Completed,
                                      "All traffic has moved without a revert." }
              : TrafficShiftDecision{
-                 TrafficShiftStage::Shift,
-                 "Open requests finish on the old version."
+                 TrafficShiftStage::Reverted,
+                 "The new version is worse under all traffic."
                };
   }
   if (elapsedShare >= kShiftStartShare &&
@@ -196,7 +202,7 @@
   if (elapsedShare < kDecisionDeadlineShare) {
     return { TrafficShiftStage::Probe, verdict.mReason };
   }
-  return PassesWithFewSamples(aEvidence)
+  return MayBeAsGood(aEvidence)
            ? TrafficShiftDecision{ TrafficShiftStage::Shift,
                                    "Few samples, but no sign of a bad "
                                    "version." }
--- a/Tests/LibRelay/TestTrafficShift.cpp
+++ b/Tests/LibRelay/TestTrafficShift.cpp
@@ -161,6 +161,26 @@
         TrafficShiftStage::Reverted);
 }
 
+/// The shift was decided by few answers, and all traffic shows that they were
+/// not typical.
+TEST(TrafficShift, AVersionThatIsWorseUnderAllTrafficIsNotCompleted)
+{
+  mShift.mStage = TrafficShiftStage::Shift;
+  EvidenceCell before = Cell(900, 0, 0.2);
+  before.mRated = 400;
+  before.mGood = 300;
+  EvidenceCell after = Cell(60, 0, 0.2);
+  after.mRated = 30;
+  const auto stage = [&](double aSlow) {
+    after.mGood = after.mRated - aSlow;
+    return DecideStage(mShift, { before, after }, {}, std::chrono::seconds(22))
+      .mStage;
+  };
+  CHECK(stage(0) == TrafficShiftStage::Completed);
+  CHECK(stage(8) == TrafficShiftStage::Completed);
+  CHECK(stage(13) == TrafficShiftStage::Reverted);
+}
+
 TEST(TrafficShift, RevertedVersionIsNotAFallback)
 {
   mShift.mStage = TrafficShiftStage::Reverted;
