Give the tests' VMs ports that no outgoing connection can take

The fixture let the kernel choose a port, released it, and a VM of the test listened there later; meanwhile the kernel may give the port to one of the many outgoing connections. Ports are now taken from below that range. No check changed.

--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace Acaciavale::Platform::StandIns {
 
@@ -16,6 +17,10 @@
 
 /// Ends a test that hangs; far longer than any successful run.
 constexpr Duration kRunUntilTimeout = std::chrono::seconds(30);
+/// Ports below those that the kernel gives to outgoing connections.
+constexpr unsigned kFirstTestPort = 20000;
+constexpr unsigned kTestPorts = 8000;
+
 std::string EventText(int aId)
 {
   return "id: " + std::to_string(aId) + "\ndata: event " + std::to_string(aId) +
@@ -244,10 +249,23 @@
 
 std::string PlatformFixture::UnusedAddress()
 {
-  const boost::asio::ip::tcp::acceptor probe(
-    mIoContext,
-    boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  namespace asio = boost::asio;
+  static unsigned sOffset = static_cast<unsigned>(::getpid()) % kTestPorts;
+  for (unsigned attempt = 0; attempt < kTestPorts; ++attempt) {
+    sOffset = (sOffset + 1) % kTestPorts;
+    const auto port = static_cast<std::uint16_t>(kFirstTestPort + sOffset);
+    asio::ip::tcp::acceptor probe(mIoContext);
+    boost::system::error_code failure;
+    probe.open(asio::ip::tcp::v4(), failure);
+    if (!failure) {
+      probe.bind({ asio::ip::address_v4::loopback(), port }, failure);
+    }
+    if (!failure) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
+  FAIL("All ports of the tests are in use.");
+  return {};
 }
 
 void PlatformFixture::StartNodeWithoutWaiting()
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -170,8 +170,8 @@
                    const std::vector<std::string>& aApiKeys = { "key-1" },
                    int aAdditionalRoutes = 0);
 
-  /// Returns an address with a port that the kernel chose and on which
-  /// no process listens.
+  /// Returns an address with a port on which no process listens. The kernel
+  /// gives it to no outgoing connection.
   std::string UnusedAddress();
 
   /// Starts the VM and waits until it is ready.
