Test a misdirected answer with the endpoint as the only one

The other endpoint is removed now, so that all of 40 requests have to reach the endpoint; taken as leaving it would get none.

--- a/Tests/Platform/TestLeavingEndpoint.cpp
+++ b/Tests/Platform/TestLeavingEndpoint.cpp
@@ -184,13 +184,11 @@
   mFixture.StartNode();
   mLeaves->SetScript(RefuseWith(421, true));
   HearFromTheEndpoint();
-  mLeaves->SetScript(RespondWith("stays"));
+  mLeaves->SetScript(RespondWith("is used"));
   mLeaves->SetSaysThatItLeaves(false);
-  const std::size_t arrivals = mLeaves->mArrivals.size();
-  mFixture.RunUntil([&] {
-    RequestStatus();
-    return mLeaves->mArrivals.size() > arrivals;
-  });
+  mFixture.mStore.Remove("servers/i-1");
+  mFixture.RunUntilStoreRead();
+  UNSIGNED_LONGS_EQUAL(40, FurtherArrivals());
 }
 
 /// A request that waits for a place is not started at the endpoint, and is
