Log the prompt's parts of each request and attempts that ended without an event

A request's line now names the first parts of its prompt, and an attempt that was lost before its first event says so.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 #include <xxhash.h>
 
 namespace Acaciavale::Relay {
@@ -39,6 +40,22 @@
          0x1.0p-53;
 }
 
+/// Maximum number of prompt parts in the log line of a request.
+constexpr std::size_t kMaximumLoggedParts = 8;
+
+/// The ids of the first parts of a prompt, in the notation of the wire.
+std::string PartsText(const std::vector<PromptPart>& aParts)
+{
+  std::ostringstream text;
+  text << std::hex;
+  for (std::size_t index = 0;
+       index < std::min(aParts.size(), kMaximumLoggedParts);
+       ++index) {
+    text << (index == 0 ? "" : ",") << aParts[index].mId;
+  }
+  return text.str();
+}
+
 } // namespace
 
 void Exchange::Start(const std::shared_ptr<RelayState>& aState,
@@ -447,6 +464,7 @@
     { { "id", mRequest.mId },
       { "route", route },
       { "account", mAccount == nullptr ? "" : mAccount->mName },
+      { "parts", PartsText(mRequest.mParts) },
       { "settings", mSettings ? std::to_string(mSettings->mVersion) : "none" },
       { "view-ms",
         std::to_string(static_cast<std::int64_t>(
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -360,6 +360,9 @@
   mAttemptTrace += " [" + aAttempt.mEndpoint->mRecord.mId + ' ' +
                    std::string(Describe(aResult)) + ' ' +
                    std::to_string(aAttempt.mHead.result_int());
+  if (end == AttemptEnd::MayHaveRun && aAttempt.mJudged->mTiming.mEvents == 0) {
+    mAttemptTrace += " without an event";
+  }
   if (aAttempt.mResponseInfo.mConfidence) {
     mAttemptTrace +=
       " model " + std::to_string(aAttempt.mModel) + " confidence " +
