--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -75,6 +75,13 @@
   return head;
 }
 
+void Replica::Crash()
+{
+  mHasCrashed = true;
+  mListener.Close();
+  mListener.AbortAll();
+}
+
 Replica::Script RespondWith(std::string aBody)
 {
   return [body = std::move(aBody)](Replica& aSelf, const auto& aSession) {
@@ -124,6 +131,20 @@
   };
 }
 
+Replica::Script CrashOnPart(std::string aPartId)
+{
+  return [part = std::move(aPartId)](Replica& aSelf, const auto& aSession) {
+    const std::string parts(aSession->OpenRequest()["Prompt-Prefix"]);
+    aSession->BeginStream(aSelf.SuccessHead(*aSession));
+    if (parts.find(part + ':') != std::string::npos) {
+      aSession->OnDrained([&aSelf] { aSelf.Crash(); });
+      return;
+    }
+    aSession->SendChunk(EventText(1));
+    aSession->EndStream();
+  };
+}
+
 PlatformFixture::PlatformFixture()
   : mStore(mIoContext)
 {
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -104,6 +104,10 @@
   void SetRetryAfter(std::string aText) { mRetryAfter = std::move(aText); }
   /// Whether all responses state that the endpoint is about to stop.
   void SetSaysThatItLeaves(bool aSays) { mSaysThatItLeaves = aSays; }
+  /// Ends as a process that crashes does: all connections break, and new ones
+  /// are refused.
+  void Crash();
+  bool HasCrashed() const { return mHasCrashed; }
 
   /// A request that arrived at the endpoint.
   struct Arrival
@@ -124,6 +128,7 @@
   std::string mId;
   Script mScript;
   bool mSaysThatItLeaves = false;
+  bool mHasCrashed = false;
   std::string mRetryAfter;
   Relay::Listener mListener;
 };
@@ -133,6 +138,9 @@
 Replica::Script RefuseWith(unsigned aStatus, bool aSetsNotExecuted);
 Replica::Script BreakConnection();
 Replica::Script NeverRespond();
+/// Crashes on requests whose prompt has the part, after the head of the
+/// response; streams one event to all others.
+Replica::Script CrashOnPart(std::string aPartId);
 /// Streams the events that follow the request's Last-Event-Id. If aBreakAfter
 /// is set, the connection breaks within the event after that one.
 Replica::Script StreamEvents(int aEventCount,
