Quarantine prompts that crash the endpoints that answer them

Callers of all kinds lost their streams and were refused while requests with one part in their prompts, or one request with its repeats, ended one endpoint after the other.

Cause: an endpoint that ended under a request was a failed attempt like any other. The attempt was repeated elsewhere, and no VM remembered what the endpoint had begun to answer.

Now a VM that loses an endpoint checks by a connection whether a process still listens there. If not, the requests that it had begun to answer and that had no event are suspects. They are not repeated; those that only waited there are. VMs push the crashes to the readers and exchange them with their polls; an event clears all parts of its request. Until then, requests with an unproven suspect part are held for a short time and tried one at a time. An endpoint that has ended gets no further connections for five seconds.

Left: an attempt that is given up for a larger model right after its head may end its endpoint too, unseen.

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -55,6 +55,9 @@
 /// fails.
 constexpr std::uint32_t kLocalSampleSize = 3;
 constexpr std::uint32_t kRemoteSampleSize = 1;
+/// How long an endpoint that has ended is not selected. The list drops it
+/// after three missing liveness reports.
+constexpr Duration kEndedMemory = std::chrono::seconds(5);
 /// Open attempts at an endpoint if the query has no limit.
 constexpr std::int32_t kUnlimited = std::numeric_limits<std::int32_t>::max();
 /// Maximum share of a pool's endpoints that may be ejected. If more of them
@@ -103,6 +106,17 @@
   return isNews;
 }
 
+bool HasEnded(const Endpoint& aEndpoint, TimePoint aNow)
+{
+  return aEndpoint.mEndedAt != TimePoint{} &&
+         aNow - aEndpoint.mEndedAt < kEndedMemory;
+}
+
+void EndpointRegistry::RecordEnded(Endpoint& aEndpoint, TimePoint aNow)
+{
+  aEndpoint.mEndedAt = aNow;
+}
+
 bool EndpointRegistry::RecordQuietTime(Endpoint& aEndpoint,
                                        Duration aAsked,
                                        double aJitter,
@@ -234,6 +248,7 @@
     const Endpoint& endpoint = *all[index];
     const bool isAllowed = !endpoint.mRecord.mIsDraining &&
                            !endpoint.mAnnouncement.mIsLeaving &&
+                           !HasEnded(endpoint, aNow) &&
                            (!aQuery.mAcceptsVersion ||
                             aQuery.mAcceptsVersion(endpoint.mRecord.mVersion));
     if (!isAllowed) {
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -43,7 +43,8 @@
 /// Maximum number of prompt parts in the log line of a request.
 constexpr std::size_t kMaximumLoggedParts = 8;
 
-/// The ids of the first parts of a prompt, in the notation of the wire.
+} // namespace
+
 std::string PartsText(const std::vector<PromptPart>& aParts)
 {
   std::ostringstream text;
@@ -56,8 +57,6 @@
   return text.str();
 }
 
-} // namespace
-
 void Exchange::Start(const std::shared_ptr<RelayState>& aState,
                      const std::shared_ptr<ClientSession>& aSession)
 {
@@ -226,8 +225,11 @@
                                  mTriedEndpoints.back()->mRecord.mVersion);
   }
   for (const VersionSide side : { preferred, FallbackSide(shift) }) {
-    query.mAcceptsVersion = [side, &shift](const std::string& aVersion) {
-      return AcceptsVersion(side, shift, aVersion);
+    query.mAcceptsVersion = [this, side, &shift](const std::string& aVersion) {
+      return AcceptsVersion(side, shift, aVersion) &&
+             std::find(mExcludedVersions.begin(),
+                       mExcludedVersions.end(),
+                       aVersion) == mExcludedVersions.end();
     };
     selection =
       mState->mRegistry.Choose(query, mState->mRandom, MonotonicNow());
@@ -241,6 +243,9 @@
 
 bool Exchange::TryDispatch()
 {
+  if (RefuseUnsafePrompt()) {
+    return true;
+  }
   const EndpointSelection selection = SelectEndpoint();
   if (selection.mEndpoint) {
     StartAttempt(selection);
@@ -291,6 +296,9 @@
   if (mIsOver || !mQueueTicket) {
     return true;
   }
+  if (RefuseUnsafePrompt()) {
+    return true;
+  }
   const EndpointSelection selection = SelectEndpoint();
   if (!selection.mEndpoint && selection.mIsFull) {
     return false;
@@ -325,6 +333,7 @@
   attempt.mStartedAt = now;
   LogEndOfQuiet(*attempt.mEndpoint);
   BeginEvidence(attempt);
+  BeginTrial(attempt);
   mTriedEndpoints.push_back(attempt.mEndpoint.get());
   mState->mRegistry.RecordAttempt(*attempt.mEndpoint, attempt.mWork, now);
 
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -32,8 +32,14 @@
   std::string mBody;
   EventStreamParser mEventParser;
   std::unique_ptr<boost::asio::steady_timer> mSilenceTimer;
+  /// Suspect part of the prompt that the attempt is a trial of; 0: none.
+  std::uint64_t mTrialOf = 0;
+  bool mIsPromptSound = false; ///< An answer has begun.
 };
 
+/// The ids of the first parts of a prompt, in the notation of the wire.
+std::string PartsText(const std::vector<PromptPart>& aParts);
+
 /// One request of a caller, from its arrival to its final response.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -104,6 +110,14 @@
   void OnEndpointQuiet(const Attempt& aAttempt);
   void LogEndOfQuiet(const Endpoint& aEndpoint) const;
   void RefuseUntilQuietEnds(TimePoint aEnd);
+  // ExchangeCrashes.cpp: endpoints that end, and prompts that crash them.
+  PromptDecision PromptDecisionNow() const;
+  bool RefuseUnsafePrompt();
+  void BeginTrial(Attempt& aAttempt);
+  void EndTrial(Attempt& aAttempt);
+  void RecordSoundPrompt(Attempt& aAttempt);
+  bool CheckLostEndpoint(Attempt& aAttempt, AttemptEnd aEnd);
+  void RecordCrashUnder(const Attempt& aAttempt, bool aHadBegun);
   // ExchangeEvidence.cpp: evidence on the versions of a roll-out.
   void BeginEvidence(Attempt& aAttempt);
   void EndEvidence(Attempt& aAttempt, AttemptEnd aEnd);
@@ -136,6 +150,9 @@
   bool mIsStreaming = false;
   bool mHasWaitedForView = false;
   std::optional<WaitTicket> mQueueTicket;
+  /// Versions whose endpoints the prompt crashes.
+  std::vector<std::string> mExcludedVersions;
+  std::uint64_t mTrialOf = 0; ///< For the next attempt; see Attempt.
   std::optional<std::int64_t> mLastEventId;
   /// Earliest end of the quiet times, if all endpoints wanted quiet.
   std::optional<TimePoint> mQuietUntil;
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -95,8 +95,9 @@
     kSilenceRetrySlack,
     mState->mOptions.mRetryBudget.mWindow
   };
+  const bool isUnsafe = PromptDecisionNow().mVerdict != PromptVerdict::Send;
   const EndpointSelection selection =
-    isEarly ? EndpointSelection{} : SelectEndpoint();
+    isEarly || isUnsafe ? EndpointSelection{} : SelectEndpoint();
   const bool isAllowed =
     selection.mEndpoint &&
     mState->mSilenceBudgets[mPool].TrySpend(silenceBudget, 1, now) &&
@@ -169,6 +170,9 @@
 
 void Exchange::Escalate(Attempt& aAttempt, std::size_t aModel)
 {
+  if (PromptDecisionNow().mVerdict != PromptVerdict::Send) {
+    return;
+  }
   const std::size_t previousModel = mModel;
   mModel = aModel;
   // NOTE: The engine that ran the smaller model is also a candidate for
@@ -243,6 +247,7 @@
     return;
   }
   OnFirstEvent(aAttempt);
+  RecordSoundPrompt(aAttempt);
   aAttempt.mLastEventAt = MonotonicNow();
   if (!mIsStreaming) {
     mIsStreaming = true;
@@ -324,6 +329,7 @@
                               outcome,
                               now);
   EndEvidence(aAttempt, aEnd);
+  EndTrial(aAttempt);
   // NOTE: The call is posted, because the queue may start attempts and this
   //       function may be called while an attempt is started.
   boost::asio::post(
@@ -374,6 +380,9 @@
     mFailedConnections += 1;
   }
   if (end == AttemptEnd::Answered) {
+    if (IsSuccess(aAttempt.mHead)) {
+      RecordSoundPrompt(aAttempt);
+    }
     CancelOthers(&aAttempt);
     if (aAttempt.mIsStream) {
       if (!mIsStreaming) {
@@ -391,6 +400,12 @@
     mErrorResponseHead = aAttempt.mHead;
     mErrorResponseBody = aAttempt.mBody;
   }
+  const bool isLost =
+    end == AttemptEnd::MayHaveRun &&
+    (aResult == CallResult::NoResponse || aResult == CallResult::Truncated);
+  if (isLost && CheckLostEndpoint(aAttempt, end)) {
+    return;
+  }
   RetryOrFail(end);
 }
 
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -1,5 +1,6 @@
 #include <Acaciavale/LibRelay/Relay.h>
 
+#include "ConnectionProbe.h"
 #include "Exchange.h"
 #include "RelayState.h"
 
@@ -9,6 +10,13 @@
 
 namespace Acaciavale::Relay {
 
+namespace {
+
+/// Several round trips; a process that does not listen is reported in one.
+constexpr Duration kEndpointCheckTimeout = std::chrono::milliseconds(150);
+
+} // namespace
+
 bool RelayState::AreKeysCurrent() const
 {
   return mSettings &&
@@ -24,6 +32,40 @@
            : std::optional<TrafficShift>(found->second);
 }
 
+void RelayState::CheckEndpoint(const std::shared_ptr<Endpoint>& aEndpoint,
+                               std::function<void(bool aHasEnded)> aCallback)
+{
+  if (HasEnded(*aEndpoint, MonotonicNow())) {
+    aCallback(true);
+    return;
+  }
+  const auto [check, isFirst] = mEndpointChecks.try_emplace(aEndpoint.get());
+  check->second.push_back(std::move(aCallback));
+  if (!isFirst) {
+    return;
+  }
+  ProbeConnection(
+    mLoop,
+    aEndpoint->mRecord.mAddress,
+    kEndpointCheckTimeout,
+    [state = shared_from_this(), aEndpoint](ProbeResult aResult) {
+      const bool hasEnded = aResult == ProbeResult::Refused;
+      if (hasEnded) {
+        EndpointRegistry::RecordEnded(*aEndpoint, MonotonicNow());
+        Log(LogLevel::Info,
+            "relay",
+            "An endpoint has ended.",
+            { { "endpoint", aEndpoint->mRecord.mId },
+              { "pool", aEndpoint->mRecord.mPool },
+              { "open-attempts", std::to_string(aEndpoint->mInFlight) } });
+      }
+      const auto waiting = state->mEndpointChecks.extract(aEndpoint.get());
+      for (const auto& callback : waiting.mapped()) {
+        callback(hasEnded);
+      }
+    });
+}
+
 void RelayState::ServeQueue(const std::string& aPool)
 {
   const auto found = mQueues.find(aPool);
@@ -155,6 +197,74 @@
   mState->mRegistry.ApplyLoadReports(aReports, MonotonicNow());
 }
 
+void RequestRelay::OnCrashEvidence(std::function<void()> aHandler)
+{
+  mState->mOnCrashEvidence = std::move(aHandler);
+}
+
+CrashReport RequestRelay::Crashes() const
+{
+  if (mState->mCrashEvidence.mCrashes.empty() && mState->mQuarantine.empty()) {
+    return {};
+  }
+  std::set<std::uint64_t> parts;
+  for (const QuarantinedPrompt& prompt : mState->mQuarantine) {
+    parts.insert(prompt.mParts.begin(), prompt.mParts.end());
+  }
+  return { SharedEvidence(mState->mCrashEvidence, parts), mState->mQuarantine };
+}
+
+bool RequestRelay::MergeCrashes(const CrashReport& aReport)
+{
+  const bool hasChanged = Merge(mState->mCrashEvidence, aReport.mEvidence);
+  if (hasChanged) {
+    mState->mSuspectPrompts = FindSuspectPrompts(mState->mCrashEvidence);
+  }
+  return UpdateQuarantine(
+           mState->mQuarantine, aReport.mQuarantine, mState->mCrashEvidence) ||
+         hasChanged;
+}
+
+std::vector<QuarantinedPrompt> RequestRelay::JudgePrompts()
+{
+  ForgetOldCrashes(mState->mCrashEvidence, MonotonicNow());
+  mState->mSuspectPrompts = FindSuspectPrompts(mState->mCrashEvidence);
+  const std::vector<QuarantinedPrompt> before = mState->mQuarantine;
+  UpdateQuarantine(mState->mQuarantine,
+                   FindPromptsToQuarantine(mState->mCrashEvidence),
+                   mState->mCrashEvidence);
+  std::vector<QuarantinedPrompt> added;
+  for (const QuarantinedPrompt& prompt : mState->mQuarantine) {
+    const bool isKnown =
+      std::any_of(before.begin(), before.end(), [&prompt](const auto& aKnown) {
+        return aKnown.mPool == prompt.mPool && aKnown.mParts == prompt.mParts;
+      });
+    if (!isKnown) {
+      added.push_back(prompt);
+    }
+  }
+  return added;
+}
+
+void RequestRelay::ClearPrompt(const QuarantinedPrompt& aPrompt)
+{
+  std::set<std::string> versions(aPrompt.mVersions.begin(),
+                                 aPrompt.mVersions.end());
+  for (const auto& [endpoint, crash] : mState->mCrashEvidence.mCrashes) {
+    versions.insert(crash.mVersion);
+  }
+  versions.insert("");
+  for (const std::string& version : versions) {
+    RecordSound(mState->mCrashEvidence,
+                aPrompt.mPool,
+                version,
+                aPrompt.mParts,
+                MonotonicNow());
+  }
+  mState->mSuspectPrompts = FindSuspectPrompts(mState->mCrashEvidence);
+  UpdateQuarantine(mState->mQuarantine, {}, mState->mCrashEvidence);
+}
+
 std::string RequestRelay::MetricsText() const
 {
   return mState->mMetrics.Text();
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -5,6 +5,7 @@
 #include <Acaciavale/LibRelay/VersionEvidence.h>
 #include <Acaciavale/LibRelay/WaitQueue.h>
 #include <Acaciavale/LibReport/Metrics.h>
+#include <Acaciavale/LibRouting/PromptQuarantine.h>
 
 #include <deque>
 #include <functional>
@@ -32,6 +33,7 @@
     , mCodec(std::move(aCodec))
     , mOptions(std::move(aOptions))
     , mRandom(EntropySeed())
+    , mTrialJitter(mRandom.Unit())
   {
   }
 
@@ -39,6 +41,7 @@
   WireCodec mCodec;
   RelayOptions mOptions;
   Random mRandom;
+  double mTrialJitter; ///< In [0, 1), constant for this VM.
   std::shared_ptr<const RelaySettings> mSettings;
   EndpointRegistry mRegistry;
   /// Traffic shifts by pool.
@@ -48,6 +51,15 @@
   /// Budgets for the retries of silent attempts, by pool.
   std::map<std::string, RetryBudget> mSilenceBudgets;
   std::map<std::string, PoolQueue> mQueues; ///< Queues by pool.
+  CrashEvidence mCrashEvidence;
+  std::vector<QuarantinedPrompt> mQuarantine;
+  std::vector<QuarantinedPrompt> mSuspectPrompts; ///< By mCrashEvidence.
+  /// Suspect parts of the prompts of attempts that have no event yet.
+  std::multiset<std::uint64_t> mOpenTrials;
+  std::function<void()> mOnCrashEvidence; ///< Called after a crash.
+  /// Checks of endpoints that are under way, with those who wait for them.
+  std::map<const Endpoint*, std::vector<std::function<void(bool)>>>
+    mEndpointChecks;
   std::int64_t mLiveVms = 1;
   TimePoint mReadStartedAt{}; ///< FleetView::mReadStartedAt of the latest view.
   bool mSnapshotFailed = false;  ///< Whether the latest read failed.
@@ -63,6 +75,11 @@
   /// The traffic shift of the pool, if any.
   std::optional<TrafficShift> TrafficShiftOf(const std::string& aPool) const;
 
+  /// Checks whether the endpoint, a connection to which was lost, has ended.
+  /// The callback may be called at once.
+  void CheckEndpoint(const std::shared_ptr<Endpoint>& aEndpoint,
+                     std::function<void(bool aHasEnded)> aCallback);
+
   /// Starts queued requests of the pool while endpoints have free slots.
   void ServeQueue(const std::string& aPool);
 };
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -71,6 +71,8 @@
 {
   EndpointRecord mRecord;
   EndpointAnnouncement mAnnouncement; ///< From the endpoint's own responses.
+  /// Time at which no process listened at its address; zero: never.
+  TimePoint mEndedAt{};
   /// The endpoint is no longer in the platform's list.
   bool mIsRemoved = false;
   std::int32_t mInFlight = 0; ///< Open attempts of this VM.
@@ -93,6 +95,9 @@
   std::map<std::uint64_t, TimePoint> mSharedPrefixes;
 };
 
+/// Whether no process listened at the endpoint's address a short time ago.
+bool HasEnded(const Endpoint& aEndpoint, TimePoint aNow);
+
 /// The outcome of an attempt, as evidence of the endpoint's health.
 struct AttemptOutcome
 {
@@ -154,6 +159,10 @@
   /// stop. It is not selected again. Returns whether this is news.
   bool RecordLeaving(Endpoint& aEndpoint, TimePoint aNow);
 
+  /// Records that no process listens at the endpoint's address. It is not
+  /// selected until the platform's list has had time to drop it.
+  static void RecordEnded(Endpoint& aEndpoint, TimePoint aNow);
+
   /// Records that the endpoint has turned a request away and asked for quiet.
   /// aJitter is a random number in [0, 1). Returns whether this is news.
   bool RecordQuietTime(Endpoint& aEndpoint,
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -7,6 +7,7 @@
 #include <Acaciavale/LibRelay/RelaySettings.h>
 #include <Acaciavale/LibRelay/RetryBudget.h>
 #include <Acaciavale/LibRelay/TrafficShift.h>
+#include <Acaciavale/LibRouting/PromptQuarantine.h>
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -57,6 +58,15 @@
   TimePoint mReadStartedAt{};
 };
 
+/// What a VM knows of prompts that crash endpoints, as VMs exchange it.
+struct CrashReport
+{
+  CrashEvidence mEvidence;
+  std::vector<QuarantinedPrompt> mQuarantine;
+
+  auto operator<=>(const CrashReport&) const = default;
+};
+
 struct RelayState;
 
 class RequestRelay
@@ -96,6 +106,18 @@
   /// Applies the loads that endpoints reported to other VMs, if newer.
   void ApplyLoadReports(const std::vector<LoadReport>& aReports);
 
+  /// Sets a handler that is called after an endpoint has ended under requests
+  /// of this VM.
+  void OnCrashEvidence(std::function<void()> aHandler);
+  CrashReport Crashes() const;
+  /// Adds what another VM knows. Returns whether anything changed.
+  bool MergeCrashes(const CrashReport& aReport);
+  /// Quarantines the prompts that the evidence shows to crash endpoints, and
+  /// returns those that are new.
+  std::vector<QuarantinedPrompt> JudgePrompts();
+  /// Ends the quarantine of a prompt. Crashes until now no longer count.
+  void ClearPrompt(const QuarantinedPrompt& aPrompt);
+
   /// Counters and latencies in the Prometheus text format.
   std::string MetricsText() const;
 
