Judge prompts by the narrowest shared parts, and wait for the first event of unproven ones

A request whose shared parts are not known to be sound moves to a larger model only with the first event of the smaller one: an endpoint crashes under a deadly prompt also after its attempt was cancelled at the head, and nobody counted that crash.

A part of which sound answers are known needs crashes over the time in which the other VMs' answers become known. The suspicion after one crash names shared parts only, and repeats of one prompt count once.

--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -32,6 +32,8 @@
   std::string mBody;
   EventStreamParser mEventParser;
   std::unique_ptr<boost::asio::steady_timer> mSilenceTimer;
+  /// Larger model to which the request moves with the first event.
+  std::optional<std::size_t> mModelAfterFirstEvent;
   /// Suspect part of the prompt that the attempt is a trial of; 0: none.
   std::uint64_t mTrialOf = 0;
   bool mIsPromptSound = false; ///< An answer has begun.
@@ -113,6 +115,7 @@
   // ExchangeCrashes.cpp: endpoints that end, and prompts that crash them.
   PromptDecision PromptDecisionNow() const;
   bool RefuseUnsafePrompt();
+  bool IsPromptProvenSound() const;
   void BeginTrial(Attempt& aAttempt);
   void EndTrial(Attempt& aAttempt);
   void RecordSoundPrompt(Attempt& aAttempt);
--- a/Libraries/LibRelay/ExchangeCrashes.cpp
+++ b/Libraries/LibRelay/ExchangeCrashes.cpp
@@ -41,6 +41,11 @@
                       MonotonicNow());
 }
 
+bool Exchange::IsPromptProvenSound() const
+{
+  return IsProvenSound(mState->mCrashEvidence, mPool, PartIds(mRequest));
+}
+
 /// Refuses the request if its prompt may crash the endpoint. Returns whether
 /// it has ended.
 bool Exchange::RefuseUnsafePrompt()
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -162,8 +162,13 @@
   if (mayEscalate && MayAttemptAgain()) {
     const ModelDecision decision = ChooseEscalation(
       MakeModelQuery(), aAttempt.mModel, *aAttempt.mResponseInfo.mConfidence);
-    if (decision.mIndex != aAttempt.mModel) {
+    const bool isLarger = decision.mIndex != aAttempt.mModel;
+    if (isLarger && IsPromptProvenSound()) {
       Escalate(aAttempt, decision.mIndex);
+    } else if (isLarger) {
+      // NOTE: The endpoint may crash under the prompt also after the attempt is
+      //       cancelled. Its first event shows that it does not.
+      aAttempt.mModelAfterFirstEvent = decision.mIndex;
     }
   }
 }
@@ -230,6 +235,17 @@
 
 void Exchange::OnEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents)
 {
+  if (aAttempt.mModelAfterFirstEvent && !aEvents.empty()) {
+    const std::size_t model = *aAttempt.mModelAfterFirstEvent;
+    aAttempt.mModelAfterFirstEvent.reset();
+    RecordSoundPrompt(aAttempt);
+    if (!mIsStreaming && MayAttemptAgain()) {
+      Escalate(aAttempt, model);
+    }
+    if (aAttempt.mIsOver) {
+      return;
+    }
+  }
   std::string text;
   for (StreamEvent& event : aEvents) {
     const bool wasSent =
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -225,14 +225,15 @@
          hasChanged;
 }
 
-std::vector<QuarantinedPrompt> RequestRelay::JudgePrompts()
+std::vector<QuarantinedPrompt> RequestRelay::JudgePrompts(Duration aTrustedSpan)
 {
   ForgetOldCrashes(mState->mCrashEvidence, MonotonicNow());
   mState->mSuspectPrompts = FindSuspectPrompts(mState->mCrashEvidence);
   const std::vector<QuarantinedPrompt> before = mState->mQuarantine;
-  UpdateQuarantine(mState->mQuarantine,
-                   FindPromptsToQuarantine(mState->mCrashEvidence),
-                   mState->mCrashEvidence);
+  UpdateQuarantine(
+    mState->mQuarantine,
+    FindPromptsToQuarantine(mState->mCrashEvidence, aTrustedSpan),
+    mState->mCrashEvidence);
   std::vector<QuarantinedPrompt> added;
   for (const QuarantinedPrompt& prompt : mState->mQuarantine) {
     const bool isKnown =
--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -108,6 +108,21 @@
   return false;
 }
 
+bool IsProvenSound(const CrashEvidence& aEvidence,
+                   const std::string& aPool,
+                   const std::vector<std::uint64_t>& aParts)
+{
+  return aParts.empty() ||
+         std::all_of(
+           aParts.begin(), aParts.end() - 1, [&](std::uint64_t aPart) {
+             return AnySound(aEvidence,
+                             aPart,
+                             [&aPool](const PartOnVersion& aKey, TimePoint) {
+                               return aKey.mPool == aPool;
+                             });
+           });
+}
+
 bool CountsAgainst(const CrashEvidence& aEvidence,
                    const EndpointCrash& aCrash,
                    std::uint64_t aPart)
--- a/Libraries/LibRouting/PromptQuarantine.cpp
+++ b/Libraries/LibRouting/PromptQuarantine.cpp
@@ -15,9 +15,6 @@
 /// Endpoints that end within this time may have a common cause, such as the
 /// loss of a failure domain.
 constexpr Duration kJointFailureSpan = std::chrono::milliseconds(300);
-/// Time without a sound answer after which a part counts as the cause although
-/// it was sound before. The sound answers of other VMs are known by then.
-constexpr Duration kTrustedSpan = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaximumQuarantined = 256;
 /// Time without requests with a suspect part after its first crash and after
 /// each later one.
@@ -36,6 +33,8 @@
 {
   std::vector<const EndpointCrash*> mCrashes;
   std::vector<const CrashSuspect*> mSuspects;
+  /// First crash under each of the prompts, by the part of its own.
+  std::map<std::uint64_t, TimePoint> mPrompts;
   /// Whether the part is the last one of each of these requests.
   bool mIsWholePrompt = true;
 };
@@ -55,6 +54,9 @@
           against.mCrashes.push_back(&crash);
         }
         against.mSuspects.push_back(suspect);
+        const auto [first, isNew] =
+          against.mPrompts.try_emplace(suspect->mParts.back(), crash.mAt);
+        first->second = std::min(first->second, crash.mAt);
         against.mIsWholePrompt =
           against.mIsWholePrompt && suspect->mParts.back() == part;
       }
@@ -83,43 +85,42 @@
 
 bool IsProven(const CrashEvidence& aEvidence,
               const Case& aCase,
-              std::uint64_t aPart)
+              std::uint64_t aPart,
+              Duration aTrustedSpan)
 {
   if (aCase.mIsWholePrompt) {
     return aCase.mCrashes.size() >= kCrashesByPrompt;
   }
-  std::set<std::uint64_t> prompts;
-  for (const CrashSuspect* const suspect : aCase.mSuspects) {
-    prompts.insert(suspect->mParts.back());
-  }
   const bool wasSound = std::any_of(
     aCase.mCrashes.begin(), aCase.mCrashes.end(), [&](const auto* aCrash) {
       return SoundAt(aEvidence, *aCrash, aPart) != TimePoint{};
     });
   const Duration span = LastCrashAt(aCase) - FirstCrashAt(aCase);
   return aCase.mCrashes.size() >= kCrashesByPart &&
-         prompts.size() >= kPromptsByPart &&
-         span > (wasSound ? kTrustedSpan : kJointFailureSpan);
+         aCase.mPrompts.size() >= kPromptsByPart &&
+         span > (wasSound ? aTrustedSpan : kJointFailureSpan);
 }
 
-/// The parts that all requests of the case have in common and that are not
-/// known to be sound.
+/// The shared parts that all requests of the case have in common and that are
+/// not known to be sound.
 Parts CommonParts(const CrashEvidence& aEvidence, const Case& aCase)
 {
   Parts common = aCase.mSuspects.front()->mParts;
   std::sort(common.begin(), common.end());
   common.erase(std::unique(common.begin(), common.end()), common.end());
   std::erase_if(common, [&](std::uint64_t aPart) {
-    const bool isInAll = std::all_of(aCase.mSuspects.begin(),
-                                     aCase.mSuspects.end(),
-                                     [aPart](const auto* aSuspect) {
-                                       return Contains(aSuspect->mParts, aPart);
-                                     });
+    const bool isSharedByAll =
+      std::all_of(aCase.mSuspects.begin(),
+                  aCase.mSuspects.end(),
+                  [aPart](const auto* aSuspect) {
+                    return Contains(aSuspect->mParts, aPart) &&
+                           aSuspect->mParts.back() != aPart;
+                  });
     const bool isSound = std::any_of(
       aCase.mCrashes.begin(), aCase.mCrashes.end(), [&](const auto* aCrash) {
         return !CountsAgainst(aEvidence, *aCrash, aPart);
       });
-    return !isInAll || isSound;
+    return !isSharedByAll || isSound;
   });
   return common;
 }
@@ -150,11 +151,12 @@
 } // namespace
 
 std::vector<QuarantinedPrompt> FindPromptsToQuarantine(
-  const CrashEvidence& aEvidence)
+  const CrashEvidence& aEvidence,
+  Duration aTrustedSpan)
 {
   std::vector<QuarantinedPrompt> prompts;
   for (const auto& [key, against] : CasesOf(aEvidence)) {
-    if (!IsProven(aEvidence, against, key.second)) {
+    if (!IsProven(aEvidence, against, key.second, aTrustedSpan)) {
       continue;
     }
     QuarantinedPrompt prompt;
@@ -227,6 +229,14 @@
     }
     prompt.mCrashes = against.mCrashes.size();
     prompt.mLastCrashAt = LastCrashAt(against);
+    if (!against.mIsWholePrompt) {
+      // NOTE: Repeats of one prompt tell nothing more about a part of it.
+      prompt.mCrashes = against.mPrompts.size();
+      prompt.mLastCrashAt = {};
+      for (const auto& [own, firstCrashAt] : against.mPrompts) {
+        prompt.mLastCrashAt = std::max(prompt.mLastCrashAt, firstCrashAt);
+      }
+    }
     prompts.push_back(std::move(prompt));
   }
   return prompts;
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -113,8 +113,8 @@
   /// Adds what another VM knows. Returns whether anything changed.
   bool MergeCrashes(const CrashReport& aReport);
   /// Quarantines the prompts that the evidence shows to crash endpoints, and
-  /// returns those that are new.
-  std::vector<QuarantinedPrompt> JudgePrompts();
+  /// returns those that are new. aTrustedSpan as for FindPromptsToQuarantine.
+  std::vector<QuarantinedPrompt> JudgePrompts(Duration aTrustedSpan);
   /// Ends the quarantine of a prompt. Crashes until now no longer count.
   void ClearPrompt(const QuarantinedPrompt& aPrompt);
 
--- a/include/Acaciavale/LibRouting/CrashEvidence.h
+++ b/include/Acaciavale/LibRouting/CrashEvidence.h
@@ -103,6 +103,12 @@
                   const EndpointCrash& aCrash,
                   std::uint64_t aPart);
 
+/// Whether a sound answer is known for each part but the last one, which
+/// belongs to the request itself.
+bool IsProvenSound(const CrashEvidence& aEvidence,
+                   const std::string& aPool,
+                   const std::vector<std::uint64_t>& aParts);
+
 /// Whether no event of a response has cleared the part since the crash.
 bool CountsAgainst(const CrashEvidence& aEvidence,
                    const EndpointCrash& aCrash,
--- a/include/Acaciavale/LibRouting/PromptQuarantine.h
+++ b/include/Acaciavale/LibRouting/PromptQuarantine.h
@@ -20,9 +20,12 @@
 };
 
 /// The prompts that the evidence shows to crash endpoints. If several parts
-/// explain the same crashes, only prompts with all of them are named.
+/// explain the same crashes, only prompts with all of them are named. A part of
+/// which sound answers are known needs crashes over more than aTrustedSpan, in
+/// which the sound answers of all VMs become known.
 std::vector<QuarantinedPrompt> FindPromptsToQuarantine(
-  const CrashEvidence& aEvidence);
+  const CrashEvidence& aEvidence,
+  Duration aTrustedSpan);
 
 bool Matches(const QuarantinedPrompt& aPrompt,
              const std::string& aPool,
