Send no second response to a request

What callers saw: an answer that is not one in the protocol, when a VM wrote a whole response into a stream that had begun. The connection to a caller took what was written: a head after a head, events after the end.

It now takes events or the end after the head of a stream, and nothing after the end. A further response breaks the connection off if the first one is incomplete, and is left out otherwise; both leave a log line.

--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -166,6 +166,7 @@
   mParser.reset();
   mPhase = Phase::Responding;
   mIsResponseQueued = false;
+  mHasBegunStream = false;
   mClosesAfterResponse = !mRequest.keep_alive();
   WatchForDisconnect(aSelf);
   mHooks->mOnRequest(aSelf);
@@ -299,6 +300,43 @@
     });
 }
 
+bool ClientSession::Private::MayBeginResponse()
+{
+  if (mPhase != Phase::Responding) {
+    return false;
+  }
+  if (!mIsResponseQueued && !mHasBegunStream) {
+    return true;
+  }
+  Log(LogLevel::Error,
+      "session",
+      "A second response to one request is not sent.",
+      { { "first", mIsResponseQueued ? "complete" : "broken off" } });
+  if (mIsResponseQueued) {
+    mClosesAfterResponse = true;
+  } else {
+    Close();
+  }
+  return false;
+}
+
+/// Whether events or the end of a stream may be written. If the stream has not
+/// begun or has ended, they belong to no response.
+bool ClientSession::Private::IsStreamOpen() const
+{
+  if (mPhase != Phase::Responding) {
+    return false;
+  }
+  const bool isOpen = mHasBegunStream && !mIsResponseQueued;
+  if (!isOpen) {
+    Log(LogLevel::Error,
+        "session",
+        "Bytes outside of a response are not sent.",
+        { { "after", mIsResponseQueued ? "its end" : "no head" } });
+  }
+  return isOpen;
+}
+
 /// Sets the header fields that concern the connection. Returns whether the
 /// response may have a body.
 bool ClientSession::Private::PrepareHead(ResponseHead& aHead)
@@ -338,7 +376,7 @@
 
 void ClientSession::Send(ResponseHead aHead, const std::string& aBody)
 {
-  if (mPrivate->mPhase != Private::Phase::Responding) {
+  if (!mPrivate->MayBeginResponse()) {
     return;
   }
   aHead.erase(http::field::transfer_encoding);
@@ -353,9 +391,10 @@
 
 void ClientSession::BeginStream(ResponseHead aHead)
 {
-  if (mPrivate->mPhase != Private::Phase::Responding) {
+  if (!mPrivate->MayBeginResponse()) {
     return;
   }
+  mPrivate->mHasBegunStream = true;
   mPrivate->mIsChunked = mPrivate->mRequest.version() >= 11;
   mPrivate->mClosesAfterResponse =
     mPrivate->mClosesAfterResponse || !mPrivate->mIsChunked;
@@ -370,7 +409,7 @@
 
 void ClientSession::SendChunk(std::string_view aBytes)
 {
-  if (mPrivate->mPhase != Private::Phase::Responding || aBytes.empty()) {
+  if (!mPrivate->IsStreamOpen() || aBytes.empty()) {
     return;
   }
   const asio::const_buffer bytes(aBytes.data(), aBytes.size());
@@ -382,7 +421,7 @@
 
 void ClientSession::EndStream()
 {
-  if (mPrivate->mPhase != Private::Phase::Responding) {
+  if (!mPrivate->IsStreamOpen()) {
     return;
   }
   mPrivate->mIsResponseQueued = true;
--- a/Libraries/LibRelay/ClientSessionPrivate.h
+++ b/Libraries/LibRelay/ClientSessionPrivate.h
@@ -46,6 +46,7 @@
   std::size_t mUnwrittenBytes = 0;
   bool mIsWriting = false;
   bool mIsResponseQueued = false; ///< The whole response is queued.
+  bool mHasBegunStream = false;   ///< Whether the head of a stream was written.
   /// The connection closes after this response.
   bool mClosesAfterResponse = false;
   bool mIsChunked = true; ///< The response uses chunked encoding.
@@ -72,6 +73,10 @@
   void Linger(const std::shared_ptr<ClientSession>& aSelf);
   void Close();
   void HandleDisconnect();
+  /// Whether a response may begin. If another one has begun, breaks it off or,
+  /// if it is complete, leaves out what follows.
+  bool MayBeginResponse();
+  bool IsStreamOpen() const;
   bool PrepareHead(ResponseHead& aHead);
 };
 
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -3,7 +3,9 @@
 #include <Acaciavale/LibCore/Log.h>
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -383,6 +385,36 @@
   return *response;
 }
 
+std::string PlatformFixture::ExchangeBytes(const std::string& aAddress,
+                                           const std::string& aBytes)
+{
+  namespace asio = boost::asio;
+  constexpr Duration kSilence = std::chrono::milliseconds(600);
+  const std::size_t colon = aAddress.rfind(':');
+  asio::ip::tcp::socket socket(mIoContext);
+  socket.connect(
+    { asio::ip::make_address(aAddress.substr(0, colon)),
+      static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1))) });
+  asio::write(socket, asio::buffer(aBytes));
+  socket.non_blocking(true);
+  std::string received;
+  TimePoint lastAt = MonotonicNow();
+  boost::system::error_code failure;
+  while (!failure && MonotonicNow() - lastAt < kSilence) {
+    RunFor(std::chrono::milliseconds(5));
+    std::array<char, 4096> buffer{};
+    const std::size_t size = socket.read_some(asio::buffer(buffer), failure);
+    received.append(buffer.data(), size);
+    if (size > 0) {
+      lastAt = MonotonicNow();
+    }
+    if (failure == asio::error::would_block) {
+      failure = {};
+    }
+  }
+  return received;
+}
+
 Response PlatformFixture::FetchPage(const std::string& aAddress,
                                     const std::string& aTarget)
 {
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -212,6 +212,10 @@
     const std::string& aAddress,
     const std::shared_ptr<Response>& aResponse,
     const std::function<void()>& aOnEnd);
+  /// Sends the bytes to the address and returns all that comes back until the
+  /// connection is closed or silent.
+  std::string ExchangeBytes(const std::string& aAddress,
+                            const std::string& aBytes);
   Response FetchPage(const std::string& aAddress, const std::string& aTarget);
 
   boost::asio::io_context mIoContext{ 1 };
