Break a stream off instead of following it with a response of another kind

Cause: Fail sent the error response of an earlier attempt without looking whether a stream had begun since, and a complete response of another kind (400, 404, 409) counted as the answer also while a stream was open. The class: state of one attempt used for the request after the request has moved on.

Fail looks at the stream first, and a response that is no stream counts as a failure of the endpoint while one is open, so that another endpoint may go on.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -378,6 +378,11 @@
 
 void Exchange::Fail()
 {
+  if (mIsStreaming) {
+    mSession->Abort();
+    Finish("the stream was aborted");
+    return;
+  }
   if (mErrorResponseHead) {
     mFirstEventMilliseconds = InSeconds(MonotonicNow() - mArrivedAt) * 1000;
     mSession->Send(mState->mCodec.mEncodeResponse(*mErrorResponseHead),
@@ -385,11 +390,6 @@
     Finish("the endpoint responded with an error");
     return;
   }
-  if (mIsStreaming) {
-    mSession->Abort();
-    Finish("the stream was aborted");
-    return;
-  }
   if (mMayHaveRun) {
     Refuse(502, "the endpoints gave no answer");
     return;
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -316,8 +316,10 @@
     //       the caller must not conclude it from this status.
     return AttemptEnd::MayHaveRun;
   }
-  return aAttempt.mHead.result_int() >= 500 ? AttemptEnd::EndpointError
-                                            : AttemptEnd::Answered;
+  // NOTE: A response of another kind cannot follow the events of a stream.
+  return aAttempt.mHead.result_int() >= 500 || mIsStreaming
+           ? AttemptEnd::EndpointError
+           : AttemptEnd::Answered;
 }
 
 void Exchange::CloseAttempt(Attempt& aAttempt, AttemptEnd aEnd)
