Repeat bystanders of a crash at once also on a VM that already knows of it

What callers saw: of the requests that waited at an endpoint when it ended, only the first on each VM was repeated; for the others the crash was recorded before their repeat, made their own prompt suspect, and they were refused or failed.

Requests that an endpoint had not begun to answer are suspect from the second crash on. PromptQuarantine.ABystanderIsNotHeld failed before.

--- a/Libraries/LibRouting/PromptQuarantine.cpp
+++ b/Libraries/LibRouting/PromptQuarantine.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kPromptsByPart = 2;
 /// Crashes that show a whole prompt to be the cause.
 constexpr std::size_t kCrashesByPrompt = 2;
+/// Crashes that make requests suspect which the endpoints had not begun to
+/// answer. After a single one they are repeated at once.
+constexpr std::size_t kCrashesWhileWaiting = 2;
 /// Endpoints that end within this time may have a common cause, such as the
 /// loss of a failure domain.
 constexpr Duration kJointFailureSpan = std::chrono::milliseconds(300);
@@ -213,6 +216,13 @@
 {
   std::vector<QuarantinedPrompt> prompts;
   for (const auto& [key, against] : CasesOf(aEvidence)) {
+    const bool hadBegun =
+      std::any_of(against.mSuspects.begin(),
+                  against.mSuspects.end(),
+                  [](const auto* aSuspect) { return aSuspect->mHadBegun; });
+    if (!hadBegun && against.mCrashes.size() < kCrashesWhileWaiting) {
+      continue;
+    }
     QuarantinedPrompt prompt;
     prompt.mPool = key.first;
     prompt.mParts = against.mIsWholePrompt ? Parts{ key.second }
--- a/Tests/LibRouting/TestPromptQuarantine.cpp
+++ b/Tests/LibRouting/TestPromptQuarantine.cpp
@@ -191,6 +191,17 @@
   CHECK_FALSE(IsQuarantined({ kCallerPart }));
 }
 
+/// A request that waited at an endpoint that ended is repeated at once.
+TEST(PromptQuarantine, ABystanderIsNotHeld)
+{
+  const auto prompt = Prompt({ kCallerPart });
+  RecordCrash(mEvidence, CrashAt(0, "i-1", { { prompt, false } }));
+  CHECK(Decide(prompt, 0).mVerdict == PromptVerdict::Send);
+  UNSIGNED_LONGS_EQUAL(0, Decide(prompt, 0).mTrialOf);
+  RecordCrash(mEvidence, CrashAt(0.5, "i-2", { { prompt, false } }));
+  CHECK(Decide(prompt, 0.5).mVerdict != PromptVerdict::Send);
+}
+
 /// After one crash the VMs try such a request one after the other.
 TEST(PromptQuarantine, OneTrialAtATimeAfterACrash)
 {
