Handle what arrived during a stall before judging time limits

What callers saw: a VM stood still for seconds and on waking gave up streams whose rest lay in its sockets, sent the request elsewhere, a second or third run for an answer that was there, or answered 504 with the answer in hand.

Cause: each time limit was judged by the clock alone. After a gap in the VM's own time all limits had ended at once, and their handlers ran before all bytes were read; a silence limit that an event had restarted still ran if its old handler was already queued.

--- a/Libraries/LibRelay/ConnectionProbe.cpp
+++ b/Libraries/LibRelay/ConnectionProbe.cpp
@@ -2,9 +2,10 @@
 
 #include "SocketOptions.h"
 
+#include <Acaciavale/LibRelay/Timer.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 
 namespace Acaciavale::Relay {
@@ -27,8 +28,8 @@
   {
     const auto callback = std::move(mCallback);
     mCallback = {};
+    mTimer.Cancel();
     error_code ignored; // NOTE: The connection is discarded in any case.
-    mTimer.cancel(ignored);
     mSocket.close(ignored);
     if (callback) {
       callback(aResult);
@@ -36,7 +37,7 @@
   }
 
   asio::ip::tcp::socket mSocket;
-  asio::steady_timer mTimer;
+  Timer mTimer;
   std::function<void(ProbeResult)> mCallback;
 };
 
@@ -57,12 +58,8 @@
     asio::post(aLoop, [probe] { probe->End(ProbeResult::NoResponse); });
     return;
   }
-  probe->mTimer.expires_after(aTimeout);
-  probe->mTimer.async_wait([probe](const error_code& aError) {
-    if (!aError) {
-      probe->End(ProbeResult::NoResponse);
-    }
-  });
+  probe->mTimer.StartTimeout(
+    aTimeout, [probe] { probe->End(ProbeResult::NoResponse); }, aTimeout);
   probe->mSocket.async_connect(*endpoint, [probe](const error_code& aError) {
     if (!aError) {
       probe->End(ProbeResult::Accepted);
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -9,8 +9,6 @@
 
 namespace Acaciavale::Relay {
 
-using boost::system::error_code;
-
 namespace {
 
 /// Maximum time that a request waits for a view of the fleet. A VM that has
@@ -116,14 +114,13 @@
     return;
   }
   mState->mAwaitingFleetView.push_back(weak_from_this());
-  mTimer.expires_after(kFleetViewTimeout);
-  mTimer.async_wait([self = shared_from_this(),
-                     reason = std::string(aReason)](const error_code& aError) {
-    if (!aError && !self->mIsOver && !self->mHasWaitedForView) {
+  mTimer.StartTimeout(
+    kFleetViewTimeout,
+    [self = shared_from_this(), reason = std::string(aReason)] {
       self->mHasWaitedForView = true;
       self->Refuse(503, reason, kDefaultRetryAfter);
-    }
-  });
+    },
+    kFleetViewTimeout);
 }
 
 void Exchange::OnFleetView()
@@ -132,8 +129,7 @@
     return;
   }
   mHasWaitedForView = true;
-  error_code ignored; // NOTE: The handler of an expired timer has responded.
-  mTimer.cancel(ignored);
+  mTimer.Cancel();
   Begin();
 }
 
@@ -145,12 +141,10 @@
     Refuse(503, "no time is left");
     return;
   }
-  mTimer.expires_at(mDeadline);
-  mTimer.async_wait([self = shared_from_this()](const error_code& aError) {
-    if (!aError) {
-      self->OnDeadline();
-    }
-  });
+  mTimer.StartTimeout(
+    mDeadline - MonotonicNow(),
+    [self = shared_from_this()] { self->OnDeadline(); },
+    kTimeToCatchUp);
   mLastEventId = mRequest.mLastEventId;
   mVersionDraw =
     DrawFromText(mRequest.mSession.empty() ? mRequest.mId : mRequest.mSession);
@@ -283,12 +277,14 @@
   }
   mQueueTicket = poolQueue.mQueue.Add(waiting);
   poolQueue.mWaiting[*mQueueTicket] = weak_from_this();
-  mQueueTimer.expires_at(waiting.mStartBy);
-  mQueueTimer.async_wait([self = shared_from_this()](const error_code& aError) {
-    if (!aError && !self->mIsOver && self->mQueueTicket) {
-      self->Fail();
-    }
-  });
+  mQueueTimer.StartTimeout(
+    waiting.mStartBy - waiting.mQueuedAt,
+    [self = shared_from_this()] {
+      if (self->mQueueTicket) {
+        self->Fail();
+      }
+    },
+    kTimeToCatchUp);
 }
 
 bool Exchange::TryLeaveQueue()
@@ -304,8 +300,7 @@
     return false;
   }
   mQueueTicket.reset();
-  error_code ignored; // NOTE: The handler of an expired timer has responded.
-  mQueueTimer.cancel(ignored);
+  mQueueTimer.Cancel();
   if (selection.mEndpoint) {
     StartAttempt(selection);
   } else {
@@ -446,9 +441,8 @@
     return;
   }
   mIsOver = true;
-  error_code ignored; // NOTE: The response is complete in any case.
-  mTimer.cancel(ignored);
-  mQueueTimer.cancel(ignored);
+  mTimer.Cancel();
+  mQueueTimer.Cancel();
   if (mQueueTicket) {
     PoolQueue& queue = mState->mQueues[mPool];
     queue.mQueue.Remove(*mQueueTicket);
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -5,8 +5,8 @@
 #include <Acaciavale/LibRelay/EventStreamParser.h>
 #include <Acaciavale/LibRelay/ModelChoice.h>
 #include <Acaciavale/LibRelay/OutboundCall.h>
+#include <Acaciavale/LibRelay/Timer.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <list>
 
 namespace Acaciavale::Relay {
@@ -31,7 +31,7 @@
   ResponseInfo mResponseInfo;
   std::string mBody;
   EventStreamParser mEventParser;
-  std::unique_ptr<boost::asio::steady_timer> mSilenceTimer;
+  std::unique_ptr<Timer> mSilenceTimer;
   /// Larger model to which the request moves with the first event.
   std::optional<std::size_t> mModelAfterFirstEvent;
   /// Suspect part of the prompt that the attempt is a trial of; 0: none.
@@ -143,8 +143,8 @@
   TimePoint mArrivedAt{};
   TimePoint mDeadline{};
   /// Limits the wait for a view of the fleet, then the whole request.
-  boost::asio::steady_timer mTimer;
-  boost::asio::steady_timer mQueueTimer;
+  Timer mTimer;
+  Timer mQueueTimer;
   std::list<Attempt> mAttempts;
   std::vector<const Endpoint*> mTriedEndpoints;
   std::int64_t mFailedConnections = 0; ///< Attempts that could not connect.
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -7,7 +7,6 @@
 
 namespace Acaciavale::Relay {
 
-using boost::system::error_code;
 namespace http = boost::beast::http;
 
 namespace {
@@ -68,16 +67,12 @@
     return;
   }
   if (!aAttempt.mSilenceTimer) {
-    aAttempt.mSilenceTimer =
-      std::make_unique<boost::asio::steady_timer>(mState->mLoop);
-  }
-  aAttempt.mSilenceTimer->expires_after(aTime);
-  aAttempt.mSilenceTimer->async_wait(
-    [self = shared_from_this(), &aAttempt](const error_code& aError) {
-      if (!aError && !self->mIsOver && !aAttempt.mIsOver) {
-        self->OnSilence(aAttempt);
-      }
-    });
+    aAttempt.mSilenceTimer = std::make_unique<Timer>(mState->mLoop);
+  }
+  aAttempt.mSilenceTimer->StartTimeout(
+    aTime,
+    [self = shared_from_this(), &aAttempt] { self->OnSilence(aAttempt); },
+    aTime);
 }
 
 void Exchange::OnSilence(Attempt& aAttempt)
--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -1,11 +1,11 @@
 #include <Acaciavale/LibRelay/OutboundCall.h>
+#include <Acaciavale/LibRelay/Timer.h>
 
 #include "SocketOptions.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -69,7 +69,7 @@
   }
 
   asio::ip::tcp::socket mSocket;
-  asio::steady_timer mTimer;
+  Timer mTimer;
   std::string mAddress;
   Duration mConnectTimeout;
   CallHandlers mHandlers;
@@ -86,8 +86,8 @@
   void Close()
   {
     mIsEnded = true;
+    mTimer.Cancel();
     error_code ignored; // NOTE: The connection is discarded in any case.
-    mTimer.cancel(ignored);
     mSocket.close(ignored);
   }
 
@@ -123,14 +123,10 @@
     return;
   }
   SetSocketOptions(mSocket);
-  mTimer.expires_after(mConnectTimeout);
-  mTimer.async_wait([aSelf](const error_code& aError) {
-    // NOTE: The timer may have expired, with its handler queued, before the
-    //       handler of the connection cancelled it.
-    if (!aError && !aSelf->mPrivate->mWasWritten) {
-      aSelf->mPrivate->End(CallResult::NotConnected);
-    }
-  });
+  mTimer.StartTimeout(
+    mConnectTimeout,
+    [aSelf] { aSelf->mPrivate->End(CallResult::NotConnected); },
+    mConnectTimeout);
   mSocket.async_connect(*endpoint, [aSelf](const error_code& aError) {
     Private& call = *aSelf->mPrivate;
     if (call.mIsEnded) {
@@ -140,9 +136,7 @@
       call.End(CallResult::NotConnected);
       return;
     }
-    // NOTE: The handler of an expired timer checks mWasWritten.
-    error_code ignored;
-    call.mTimer.cancel(ignored);
+    call.mTimer.Cancel();
     call.Write(aSelf);
   });
 }
--- a/Libraries/LibRelay/Timer.cpp
+++ b/Libraries/LibRelay/Timer.cpp
@@ -1,8 +1,23 @@
-#include "Timer.h"
+#include <Acaciavale/LibRelay/Timer.h>
 
 #include <algorithm>
 
-namespace Acaciavale::Platform {
+namespace Acaciavale::Relay {
+
+namespace {
+
+/// Delay of a timer above which the event loop has stood still. A VM that uses
+/// more than its share of a core pauses for up to a tenth of a second.
+constexpr Duration kStallThreshold = std::chrono::milliseconds(250);
+
+} // namespace
+
+struct Timer::Wait
+{
+  std::function<void()> mHandler;
+  std::optional<Duration> mAfterStall; ///< Of a time limit; see StartTimeout.
+  bool mIsCancelled = false;
+};
 
 Timer::Timer(boost::asio::io_context& aIoContext)
   : mTimer(aIoContext)
@@ -16,22 +31,47 @@
 
 void Timer::Start(Duration aDelay, std::function<void()> aHandler)
 {
-  mHandler = std::make_shared<std::function<void()>>(std::move(aHandler));
-  mTimer.expires_after(std::max(Duration{}, aDelay));
-  mTimer.async_wait([weakHandler = std::weak_ptr(mHandler)](
-                      const boost::system::error_code& aError) {
-    const auto handler = weakHandler.lock();
-    if (!aError && handler) {
-      (*handler)();
-    }
-  });
+  Cancel();
+  Arm(std::make_shared<Wait>(Wait{ std::move(aHandler), {}, false }), aDelay);
+}
+
+void Timer::StartTimeout(Duration aLimit,
+                         std::function<void()> aHandler,
+                         Duration aAfterStall)
+{
+  Cancel();
+  Arm(std::make_shared<Wait>(Wait{ std::move(aHandler), aAfterStall, false }),
+      aLimit);
+}
+
+void Timer::Arm(const std::shared_ptr<Wait>& aWait, Duration aDelay)
+{
+  mWait = aWait;
+  const Duration delay = std::max(Duration{}, aDelay);
+  const TimePoint end = MonotonicNow() + delay;
+  mTimer.expires_after(delay);
+  mTimer.async_wait(
+    [this, end, wait = aWait](const boost::system::error_code& aError) {
+      // NOTE: The timer may be gone if the wait was cancelled.
+      if (aError || wait->mIsCancelled) {
+        return;
+      }
+      if (wait->mAfterStall && MonotonicNow() - end > kStallThreshold) {
+        Arm(wait, *wait->mAfterStall);
+        return;
+      }
+      wait->mHandler();
+    });
 }
 
 void Timer::Cancel()
 {
-  mHandler.reset();
-  boost::system::error_code ignored; // NOTE: No handler is left in any case.
+  if (const auto wait = mWait.lock()) {
+    wait->mIsCancelled = true;
+  }
+  mWait.reset();
+  boost::system::error_code ignored; // NOTE: The wait is cancelled in any case.
   mTimer.cancel(ignored);
 }
 
-} // namespace Acaciavale::Platform
+} // namespace Acaciavale::Relay
--- a/Tests/LibRelay/TestTimer.cpp
+++ b/Tests/LibRelay/TestTimer.cpp
@@ -1,4 +1,4 @@
-#include <Timer.h>
+#include <Acaciavale/LibRelay/Timer.h>
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/post.hpp>
@@ -6,7 +6,7 @@
 #include <thread>
 
 using namespace Acaciavale;
-using namespace Acaciavale::Platform;
+using namespace Acaciavale::Relay;
 
 TEST_GROUP(Timer)
 {
