--- a/Benchmarks/DecisionMeasure.cpp
+++ b/Benchmarks/DecisionMeasure.cpp
@@ -25,6 +25,7 @@
   { "faulty", MeasureFaulty },      { "long", MeasureLongPrompts },
   { "half-slow", MeasureHalfSlow }, { "cascade", MeasureCascade },
   { "returns", MeasureReturns },    { "tenant", MeasureTenant },
+  { "crash", MeasureCrash },
 };
 
 } // namespace
--- a/Benchmarks/DecisionMeasureParts/Rows.h
+++ b/Benchmarks/DecisionMeasureParts/Rows.h
@@ -19,5 +19,6 @@
 void MeasureCascade();
 void MeasureReturns();
 void MeasureTenant();
+void MeasureCrash();
 
 } // namespace Acaciavale::DecisionMeasure
