Do not take a body that ends with its connection before the first event for an answer

What callers saw: an empty stream with status 200, when an endpoint whose body has neither a length nor chunks ended after the head. Such a body ends with the connection, so the end of the endpoint looked like that of the answer.

A stream without an event that only the connection ends counts as lost; the endpoint is checked as after any lost connection. BodyWithoutLength.AStreamWithoutAnEventIsNoAnswer failed before; the five others (whole, reset, HTTP/1.0, between and inside events, not resumable) passed before and after. A stream that ends between two events by a clean close still counts as whole: nothing in it tells otherwise.

--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -46,6 +46,14 @@
          http::status_class::successful;
 }
 
+/// Whether only the end of the connection ends the body. An endpoint that ends
+/// then looks like one that has answered.
+bool EndsWithConnection(const ResponseHead& aHead)
+{
+  return aHead.count(http::field::content_length) == 0 &&
+         aHead.count(http::field::transfer_encoding) == 0;
+}
+
 /// Whether callers conclude from a status that the request was not executed.
 bool PromisesNotExecuted(unsigned aStatus)
 {
@@ -302,9 +310,12 @@
     return AttemptEnd::MayHaveRun;
   }
   if (aAttempt.mIsStream) {
-    return aAttempt.mEventParser.IncompleteEvent().empty()
-             ? AttemptEnd::Answered
-             : AttemptEnd::MayHaveRun;
+    const bool hasNoEvent = !mIsStreaming &&
+                            aAttempt.mJudged->mTiming.mEvents == 0 &&
+                            EndsWithConnection(aAttempt.mHead);
+    return hasNoEvent || !aAttempt.mEventParser.IncompleteEvent().empty()
+             ? AttemptEnd::MayHaveRun
+             : AttemptEnd::Answered;
   }
   if (PromisesNotExecuted(aAttempt.mHead.result_int())) {
     // NOTE: The endpoint did not state that the request was not executed, so
@@ -415,7 +426,8 @@
   }
   const bool isLost =
     end == AttemptEnd::MayHaveRun &&
-    (aResult == CallResult::NoResponse || aResult == CallResult::Truncated);
+    (aResult == CallResult::NoResponse || aResult == CallResult::Truncated ||
+     EndsWithConnection(aAttempt.mHead));
   if (isLost && CheckLostEndpoint(aAttempt, end)) {
     return;
   }
