--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -35,6 +35,7 @@
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   std::optional<std::string> Value(const std::string& aKey) const;
+  std::vector<std::string> KeysWith(const std::string& aPrefix) const;
   /// Returns the lease of the key's entry; 0: no lease or no entry.
   std::int64_t LeaseOf(const std::string& aKey) const;
   void SetMode(Mode aMode) { mMode = aMode; }
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -208,7 +208,21 @@
       put.value("lease", std::int64_t{ 0 })
     };
   }
+  for (const Json& key : body["remove"]) {
+    mItems.erase(key.get<std::string>());
+  }
   Respond(aSession, 200, Json{ { "revision", mRevision } }.dump());
 }
 
+std::vector<std::string> Store::KeysWith(const std::string& aPrefix) const
+{
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : mItems) {
+    if (key.starts_with(aPrefix)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
 } // namespace Acaciavale::Platform::StandIns
--- a/Tests/Platform/TestCrashingRequests.cpp
+++ b/Tests/Platform/TestCrashingRequests.cpp
@@ -62,6 +62,18 @@
       [](const auto& aReplica) { return aReplica->HasCrashed(); });
   }
 
+  std::vector<std::string> QuarantineKeys() const
+  {
+    return mFixture.mStore.KeysWith("quarantine/");
+  }
+
+  void SendUntilQuarantined()
+  {
+    while (QuarantineKeys().empty()) {
+      SendMixedRequests(1);
+    }
+  }
+
   /// Requests with the deadly part and, in between, sound ones that share its
   /// other parts. Returns how many of the sound ones were served.
   int SendMixedRequests(int aCount)
@@ -111,3 +123,46 @@
   LONGS_EQUAL(before, Crashed());
   LONGS_EQUAL(200, Send("a1:150,b2:8"));
 }
+
+TEST(CrashingRequests, AnOlderCopyOfTheStoreForgetsNothing)
+{
+  StartEngines("dead");
+  mFixture.mStore.SaveCopy();
+  SendUntilQuarantined();
+  mFixture.mStore.ReturnFromCopy();
+  const std::ptrdiff_t before = Crashed();
+  SendMixedRequests(6);
+  LONGS_EQUAL(before, Crashed());
+  mFixture.RunUntil([this] { return !QuarantineKeys().empty(); });
+}
+
+/// The operator's command removes the entry.
+TEST(CrashingRequests, TheOperatorEndsTheQuarantine)
+{
+  StartEngines("dead");
+  SendUntilQuarantined();
+  mFixture.RunUntilStoreRead();
+  const std::ptrdiff_t before = Crashed();
+  mFixture.mStore.Remove(QuarantineKeys().front());
+  mFixture.RunUntilStoreRead();
+  SendMixedRequests(2);
+  CHECK(Crashed() > before);
+}
+
+/// An endpoint that breaks single connections is well.
+TEST(CrashingRequests, LostConnectionsAreNoCrashes)
+{
+  mFixture.PutSettings(1);
+  mFixture.AddEndpoint(
+    "engines", "i-1", [](Replica& aSelf, const auto& aSession) {
+      aSession->BeginStream(aSelf.SuccessHead(*aSession));
+      aSession->OnDrained([aSession] { aSession->Abort(); });
+    });
+  mFixture.AddEndpoint("engines", "i-2", CrashOnPart("none"));
+  mFixture.StartNode();
+  for (int request = 0; request < 12; ++request) {
+    LONGS_EQUAL(200, Send("a1:150,b2:8"));
+  }
+  CHECK(!mFixture.mReplicas.front()->mArrivals.empty());
+  CHECK(QuarantineKeys().empty());
+}
