--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -220,6 +220,9 @@
   if (aExchange.IsClientDisconnected()) {
     co_return;
   }
+  // NOTE: A client may close the connection as soon as it has the last byte,
+  //       before the write of it returns here.
+  aOutcome = RunOutcome::Completed;
   const json usage = MakeUsage(aJob.mPromptTokens, aJob.mTokens.size());
   if (aJob.mStream) {
     json lastChunk =
@@ -241,8 +244,6 @@
                      { "confidence", aJob.mConfidence } };
     co_await aExchange.Reply(200, body.dump());
   }
-  aOutcome = aExchange.IsClientDisconnected() ? RunOutcome::Cancelled
-                                              : RunOutcome::Completed;
 }
 
 Task Engine::ServeOrder(Exchange& aExchange)
