Reset the connection of a caller without chunks when its stream is broken off

A caller of HTTP/1.0 gets a stream that ends with its connection, so a stream that was broken off and closed looked whole. BodyWithoutLength.ABrokenStreamIsResetForCallersWithoutChunks failed before.

--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -435,6 +435,15 @@
 
 void ClientSession::Abort()
 {
+  const bool endsWithConnection = mPrivate->mHasBegunStream &&
+                                  !mPrivate->mIsChunked &&
+                                  !mPrivate->mIsResponseQueued;
+  if (endsWithConnection) {
+    // NOTE: A close would look like the end of the stream. If the option cannot
+    //       be set, the connection is gone already.
+    error_code ignored;
+    mPrivate->mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   mPrivate->Close();
 }
 
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -386,7 +386,8 @@
 }
 
 std::string PlatformFixture::ExchangeBytes(const std::string& aAddress,
-                                           const std::string& aBytes)
+                                           const std::string& aBytes,
+                                           boost::system::error_code* aEnd)
 {
   namespace asio = boost::asio;
   constexpr Duration kSilence = std::chrono::milliseconds(600);
@@ -412,6 +413,9 @@
       failure = {};
     }
   }
+  if (aEnd != nullptr) {
+    *aEnd = failure;
+  }
   return received;
 }
 
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -214,9 +214,10 @@
     const std::shared_ptr<Response>& aResponse,
     const std::function<void()>& aOnEnd);
   /// Sends the bytes to the address and returns all that comes back until the
-  /// connection is closed or silent.
+  /// connection is closed or silent. aEnd receives how it was closed.
   std::string ExchangeBytes(const std::string& aAddress,
-                            const std::string& aBytes);
+                            const std::string& aBytes,
+                            boost::system::error_code* aEnd = nullptr);
   Response FetchPage(const std::string& aAddress, const std::string& aTarget);
 
   boost::asio::io_context mIoContext{ 1 };
--- a/Tests/Platform/TestBodyWithoutLength.cpp
+++ b/Tests/Platform/TestBodyWithoutLength.cpp
@@ -175,3 +175,20 @@
   const Response response = CallUntilUsed("/stream/x");
   STRCMP_EQUAL(kEvents, response.mBody.c_str());
 }
+
+/// A caller of HTTP/1.0 gets its stream without chunks: only a reset tells a
+/// stream that was broken off from a whole one.
+TEST(BodyWithoutLength, ABrokenStreamIsResetForCallersWithoutChunks)
+{
+  mFixture.PutSettings(1);
+  mFixture.AddEndpoint("engines", "i-1", StreamEvents(3, 1));
+  mFixture.StartNode();
+  const std::string request = "POST /fixed/x HTTP/1.0\r\nHost: a.example\r\n"
+                              "Attempt-Id: old\r\nDeadline-Ms: 4000\r\n"
+                              "Key: key-1\r\nContent-Length: 4\r\n\r\nbody";
+  boost::system::error_code end;
+  const std::string bytes =
+    mFixture.ExchangeBytes(mFixture.mNode->CallerAddress(), request, &end);
+  CHECK(bytes.find("event 1") != std::string::npos);
+  CHECK(end == asio::error::connection_reset);
+}
