--- a/Libraries/LibRouting/PromptQuarantine.cpp
+++ b/Libraries/LibRouting/PromptQuarantine.cpp
@@ -230,8 +230,8 @@
     // NOTE: A part that was sound before is more likely a bystander.
     std::erase_if(prompt.mParts, [&](std::uint64_t aPart) {
       return AnySound(
-        aEvidence, aPart, [&](const PartOnVersion& aKey, TimePoint) {
-          return aKey.mPool == key.first;
+        aEvidence, aPart, [&prompt](const PartOnVersion& aKey, TimePoint) {
+          return aKey.mPool == prompt.mPool;
         });
     });
     if (!Contains(prompt.mParts, key.second)) {
--- a/Tests/Platform/TestStalledVm.cpp
+++ b/Tests/Platform/TestStalledVm.cpp
@@ -20,7 +20,12 @@
 {
   for (int event = aFrom; event <= aTo; ++event) {
     const std::string id = std::to_string(event);
-    aSession.SendChunk("id: " + id + "\ndata: " + id + "\n\n");
+    std::string text = "id: ";
+    text += id;
+    text += "\ndata: ";
+    text += id;
+    text += "\n\n";
+    aSession.SendChunk(text);
   }
 }
 
