--- a/Benchmarks/DecisionMeasure.cpp
+++ b/Benchmarks/DecisionMeasure.cpp
@@ -25,7 +25,8 @@
   { "faulty", MeasureFaulty },      { "long", MeasureLongPrompts },
   { "half-slow", MeasureHalfSlow }, { "cascade", MeasureCascade },
   { "returns", MeasureReturns },    { "tenant", MeasureTenant },
-  { "crash", MeasureCrash },
+  { "crash", MeasureCrash },        { "quiet", MeasureQuiet },
+
 };
 
 } // namespace
--- a/Benchmarks/DecisionMeasureParts/Rows.h
+++ b/Benchmarks/DecisionMeasureParts/Rows.h
@@ -20,5 +20,6 @@
 void MeasureReturns();
 void MeasureTenant();
 void MeasureCrash();
+void MeasureQuiet();
 
 } // namespace Acaciavale::DecisionMeasure
