Take comments in a stream for no progress

What callers saw: a stalled endpoint that sent a comment now and then kept the stream open until its deadline, and a comment before the first event committed the request to an endpoint that had not begun.

Comments are forwarded in place, but do not restart the limit on silence, and those from before the first event go out with it. StalledStream.CommentsDoNotKeepAStreamAlive and CommentsAreNoFirstEvent failed before; ASlowButSoundStreamIsNotCut and CommentsAreForwardedInPlace passed before and after.

--- a/Libraries/LibRelay/EventStreamParser.cpp
+++ b/Libraries/LibRelay/EventStreamParser.cpp
@@ -49,6 +49,20 @@
   return id;
 }
 
+bool HasOnlyComments(std::string_view aEvent)
+{
+  std::size_t start = 0;
+  while (start < aEvent.size()) {
+    const std::size_t end = std::min(aEvent.find('\n', start), aEvent.size());
+    const std::string_view line = aEvent.substr(start, end - start);
+    start = end + 1;
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return false;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 std::vector<StreamEvent> EventStreamParser::Append(std::string_view aBytes)
@@ -67,7 +81,8 @@
       break;
     }
     const std::string_view event = left.substr(0, end);
-    events.push_back({ std::string(event), IdOf(event) });
+    events.push_back(
+      { std::string(event), IdOf(event), HasOnlyComments(event) });
     start += end;
     mSearchedBytes = 0;
   }
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -31,6 +31,8 @@
   ResponseInfo mResponseInfo;
   std::string mBody;
   EventStreamParser mEventParser;
+  /// Comments from before the first event, which goes out after them.
+  std::string mHeldComments;
   std::unique_ptr<Timer> mSilenceTimer;
   /// Larger model to which the request moves with the first event.
   std::optional<std::size_t> mModelAfterFirstEvent;
@@ -101,6 +103,7 @@
   void OnBody(Attempt& aAttempt, std::string_view aBytes);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
   void OnEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents);
+  void ForwardComments(Attempt& aAttempt, const std::string& aText);
   void OnFirstEvent(Attempt& aAttempt);
   void OnSilence(Attempt& aAttempt);
   void ArmSilenceTimer(Attempt& aAttempt, Duration aTime);
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace Acaciavale::Relay {
 
@@ -238,7 +239,11 @@
 
 void Exchange::OnEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents)
 {
-  if (aAttempt.mModelAfterFirstEvent && !aEvents.empty()) {
+  const bool hasEvent =
+    std::any_of(aEvents.begin(), aEvents.end(), [](const StreamEvent& aEvent) {
+      return !aEvent.mIsComment;
+    });
+  if (aAttempt.mModelAfterFirstEvent && hasEvent) {
     const std::size_t model = *aAttempt.mModelAfterFirstEvent;
     aAttempt.mModelAfterFirstEvent.reset();
     RecordSoundPrompt(aAttempt);
@@ -250,7 +255,12 @@
     }
   }
   std::string text;
+  bool isProgress = false;
   for (StreamEvent& event : aEvents) {
+    if (event.mIsComment) {
+      text += event.mText;
+      continue;
+    }
     const bool wasSent =
       event.mId && mLastEventId && *event.mId <= *mLastEventId;
     if (wasSent) {
@@ -261,10 +271,13 @@
     }
     text += event.mText;
     aAttempt.mJudged->mTiming.mEvents += 1;
+    isProgress = true;
   }
-  if (text.empty()) {
+  if (!isProgress) {
+    ForwardComments(aAttempt, text);
     return;
   }
+  text.insert(0, std::exchange(aAttempt.mHeldComments, {}));
   OnFirstEvent(aAttempt);
   RecordSoundPrompt(aAttempt);
   aAttempt.mLastEventAt = MonotonicNow();
@@ -296,6 +309,23 @@
   }
 }
 
+/// Forwards comments. They are no progress: an endpoint that sends nothing else
+/// is silent. Those from before the first event wait for it, as another
+/// endpoint may send it.
+void Exchange::ForwardComments(Attempt& aAttempt, const std::string& aText)
+{
+  const bool isFirst = aAttempt.mJudged->mTiming.mEvents == 0;
+  if (!isFirst && !aText.empty()) {
+    mSession->SendChunk(aText);
+    return;
+  }
+  aAttempt.mHeldComments += aText;
+  if (aAttempt.mHeldComments.size() > EventStreamParser::kMaximumEventBytes) {
+    aAttempt.mCall->Cancel();
+    OnEnd(aAttempt, CallResult::InvalidHttp);
+  }
+}
+
 Exchange::AttemptEnd Exchange::Classify(const Attempt& aAttempt,
                                         CallResult aResult) const
 {
@@ -413,6 +443,7 @@
         mIsStreaming = true;
         mSession->BeginStream(mState->mCodec.mEncodeResponse(aAttempt.mHead));
       }
+      mSession->SendChunk(aAttempt.mHeldComments);
       mSession->EndStream();
       Finish("streamed");
     } else {
--- a/include/Acaciavale/LibRelay/EventStreamParser.h
+++ b/include/Acaciavale/LibRelay/EventStreamParser.h
@@ -13,6 +13,9 @@
 {
   std::string mText; ///< Text of the event with the blank line at its end.
   std::optional<std::int64_t> mId; ///< Number in the event's id field.
+  /// The event consists of comments, which a server may send to keep the
+  /// connection open.
+  bool mIsComment = false;
 
   auto operator<=>(const StreamEvent&) const = default;
 };
