--- a/Tests/Platform/TestStalledStream.cpp
+++ b/Tests/Platform/TestStalledStream.cpp
@@ -27,7 +27,7 @@
   void SendRepeatedly(const std::shared_ptr<Relay::ClientSession>& aSession,
                       Duration aInterval,
                       int aCount,
-                      std::function<std::string(int)> aText)
+                      const std::function<std::string(int)>& aText)
   {
     mTimers.push_back(std::make_unique<Relay::Timer>(mFixture.mIoContext));
     mTimers.back()->Start(aInterval, [=, this] {
