Let a time limit begin anew only once

What callers would see: on a VM whose event loop is late by more than 250 ms all the time no limit ever ended, so that requests had no answer at their deadline.

A limit begins anew once.

--- a/Libraries/LibRelay/Timer.cpp
+++ b/Libraries/LibRelay/Timer.cpp
@@ -1,6 +1,7 @@
 #include <Acaciavale/LibRelay/Timer.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Acaciavale::Relay {
 
@@ -57,7 +58,9 @@
         return;
       }
       if (wait->mAfterStall && MonotonicNow() - end > kStallThreshold) {
-        Arm(wait, *wait->mAfterStall);
+        // NOTE: Once only: a loop that is late all the time must not postpone
+        //       the limit without end.
+        Arm(wait, *std::exchange(wait->mAfterStall, std::nullopt));
         return;
       }
       wait->mHandler();
--- a/Tests/LibRelay/TestTimer.cpp
+++ b/Tests/LibRelay/TestTimer.cpp
@@ -49,3 +49,37 @@
   LONGS_EQUAL(0, earlierCalls);
   LONGS_EQUAL(1, mCalls);
 }
+
+/// The event loop is late all the time, as on a VM with too much to do.
+TEST(Timer, ALimitEndsAlsoUnderLastingOverload)
+{
+  Timer timer(mIoContext);
+  Timer overload(mIoContext);
+  std::function<void()> beBusy = [&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    if (mCalls == 0) {
+      overload.Start({}, beBusy);
+    }
+  };
+  overload.Start({}, beBusy);
+  timer.StartTimeout(
+    std::chrono::milliseconds(10),
+    [this] { mCalls += 1; },
+    std::chrono::milliseconds(10));
+  mIoContext.run_for(std::chrono::milliseconds(1500));
+  LONGS_EQUAL(1, mCalls);
+}
+
+TEST(Timer, ALimitBeginsAnewAfterAStall)
+{
+  Timer timer(mIoContext);
+  timer.StartTimeout(
+    std::chrono::milliseconds(10),
+    [this] { mCalls += 1; },
+    std::chrono::milliseconds(200));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  mIoContext.run_for(std::chrono::milliseconds(100));
+  LONGS_EQUAL(0, mCalls);
+  mIoContext.run_for(std::chrono::milliseconds(300));
+  LONGS_EQUAL(1, mCalls);
+}
