Log the limits that endpoints state on the requests that they take

The logs of the incident could not tell whether a VM had been told a limit: no line named one. A VM now logs when an endpoint states a limit, another one or none any more, with the one before, and counts these. Requests are sent as before. A table of texts and the order of statements are tested (TestLibRouting -g EndpointLimit).

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -132,6 +132,24 @@
   return isNews;
 }
 
+bool EndpointRegistry::RecordLimit(Endpoint& aEndpoint,
+                                   std::optional<double> aPerSecond,
+                                   TimePoint aNow)
+{
+  RequestLimit& limit = aEndpoint.mAnnouncement.mLimit;
+  const RequestLimit before = limit;
+  limit = WithStatement(limit, aPerSecond, aNow);
+  if (limit == before) {
+    return false;
+  }
+  Remember(mAnnouncements,
+           LifetimeOf(aEndpoint.mRecord),
+           aEndpoint.mAnnouncement,
+           aNow);
+  return IsInForce(limit) != IsInForce(before) ||
+         limit.mPerSecond != before.mPerSecond;
+}
+
 void EndpointRegistry::Replace(const std::vector<EndpointRecord>& aRecords,
                                TimePoint aNow)
 {
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -113,6 +113,7 @@
   // ExchangeAnnouncements.cpp: what endpoints state about themselves.
   void OnEndpointLeaving(const Attempt& aAttempt);
   void OnEndpointQuiet(const Attempt& aAttempt);
+  void OnEndpointLimit(const Attempt& aAttempt);
   void LogEndOfQuiet(const Endpoint& aEndpoint) const;
   void RefuseUntilQuietEnds(TimePoint aEnd);
   // ExchangeCrashes.cpp: endpoints that end, and prompts that crash them.
--- a/Libraries/LibRelay/ExchangeAnnouncements.cpp
+++ b/Libraries/LibRelay/ExchangeAnnouncements.cpp
@@ -71,6 +71,49 @@
         { "open-attempts", std::to_string(endpoint.mInFlight) } });
 }
 
+void Exchange::OnEndpointLimit(const Attempt& aAttempt)
+{
+  Endpoint& endpoint = *aAttempt.mEndpoint;
+  const ResponseInfo& response = aAttempt.mResponseInfo;
+  const StatedLimit& limit = response.mLimit;
+  if (!limit.mProblem.empty()) {
+    Log(LogLevel::Warning,
+        "relay",
+        "The limit of an endpoint is not taken as it is.",
+        { { "endpoint", endpoint.mRecord.mId },
+          { "id", mRequest.mId },
+          { "problem", std::string(limit.mProblem) } });
+  }
+  // NOTE: A refusal, or bytes that are no response to this request, may lack
+  //       the limit also while it is in force.
+  const bool statesNone = !limit.mIsStated && response.mHasEndpointStamp &&
+                          response.mMatchesRequest &&
+                          !response.mIsContentEncoded;
+  if (!limit.mPerSecond && !statesNone) {
+    return;
+  }
+  const RequestLimit before = endpoint.mAnnouncement.mLimit;
+  if (!mState->mRegistry.RecordLimit(
+        endpoint, limit.mPerSecond, MonotonicNow())) {
+    return;
+  }
+  mState->mMetrics.Count("acaciavale_relay_endpoint_limits_total",
+                         { { "pool", mPool } });
+  Log(LogLevel::Info,
+      "relay",
+      limit.mPerSecond
+        ? "An endpoint limits the requests that it takes from all VMs."
+        : "An endpoint no longer limits the requests that it takes.",
+      { { "endpoint", endpoint.mRecord.mId },
+        { "pool", mPool },
+        { "id", mRequest.mId },
+        { "per-second", std::to_string(limit.mPerSecond.value_or(0)) },
+        { "before",
+          IsInForce(before) ? std::to_string(before.mPerSecond) : "none" },
+        { "status", std::to_string(aAttempt.mHead.result_int()) },
+        { "open-attempts", std::to_string(endpoint.mInFlight) } });
+}
+
 void Exchange::LogEndOfQuiet(const Endpoint& aEndpoint) const
 {
   const TimePoint end = aEndpoint.mAnnouncement.mQuiet.mEndsAt;
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -155,6 +155,7 @@
   if (quiet.mDuration > Duration{} || !quiet.mProblem.empty()) {
     OnEndpointQuiet(aAttempt);
   }
+  OnEndpointLimit(aAttempt);
   const bool isValid = IsSuccess(aHead) &&
                        aAttempt.mResponseInfo.mHasEndpointStamp &&
                        aAttempt.mResponseInfo.mMatchesRequest &&
--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRouting/EndpointLimit.h>
 #include <Acaciavale/LibRouting/EndpointQuiet.h>
 
 #include <boost/beast/http/message.hpp>
@@ -85,6 +86,8 @@
   bool mIsEndpointLeaving = false;
   /// Time for which the endpoint, which turned the request away, wants no more.
   QuietTime mQuietTime;
+  /// Limit on the requests that the endpoint takes from all VMs together.
+  StatedLimit mLimit;
   std::optional<ReportedLoad> mLoad;
   /// Confidence of the model in its answer, 0 to 1.
   std::optional<double> mConfidence;
--- a/include/Acaciavale/LibRelay/EndpointAnnouncements.h
+++ b/include/Acaciavale/LibRelay/EndpointAnnouncements.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRouting/EndpointLimit.h>
 #include <Acaciavale/LibRouting/EndpointQuiet.h>
 
 #include <cstdint>
@@ -27,6 +28,7 @@
 {
   bool mIsLeaving = false; ///< The endpoint is about to stop.
   QuietPeriod mQuiet;      ///< The endpoint wants no requests meanwhile.
+  RequestLimit mLimit;     ///< Requests that it takes from all VMs together.
 
   auto operator<=>(const EndpointAnnouncement&) const = default;
 };
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -170,6 +170,12 @@
                        double aJitter,
                        TimePoint aNow);
 
+  /// Records the limit that a response of the endpoint stated, or that it
+  /// stated none. Returns whether this is news.
+  bool RecordLimit(Endpoint& aEndpoint,
+                   std::optional<double> aPerSecond,
+                   TimePoint aNow);
+
   std::vector<std::shared_ptr<Endpoint>> EndpointsOf(
     const std::string& aPool) const;
 
