--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -48,7 +48,8 @@
               "127.0.0.1:0",
               { [this](const auto& aSession) {
                  const auto& request = aSession->OpenRequest();
-                 mArrivals.push_back({ request.base(), request.body() });
+                 mArrivals.push_back(
+                   { request.base(), request.body(), MonotonicNow() });
                  aSession->OnDisconnect([this] { ++mDisconnectedCallers; });
                  mScript(*this, aSession);
                },
@@ -74,6 +75,9 @@
   if (aStatus == 503 && !mRetryAfter.empty()) {
     head.set(boost::beast::http::field::retry_after, mRetryAfter);
   }
+  if (!mLimit.empty()) {
+    head.set("Server-Limit", mLimit);
+  }
   return head;
 }
 
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -103,6 +103,9 @@
   /// Sets the text of the header in which responses of status 503 state for how
   /// long the endpoint wants no requests; empty: no header.
   void SetRetryAfter(std::string aText) { mRetryAfter = std::move(aText); }
+  /// Sets the text of the header in which all responses state how many requests
+  /// a second the endpoint takes from all VMs together; empty: no header.
+  void SetLimit(std::string aText) { mLimit = std::move(aText); }
   /// Whether all responses state that the endpoint is about to stop.
   void SetSaysThatItLeaves(bool aSays) { mSaysThatItLeaves = aSays; }
   /// Ends as a process that crashes does: all connections break, and new ones
@@ -115,6 +118,7 @@
   {
     Relay::RequestHead mHead;
     std::string mBody;
+    TimePoint mAt{};
   };
   std::vector<Arrival> mArrivals;
   int mDisconnectedCallers = 0;
@@ -131,6 +135,7 @@
   bool mSaysThatItLeaves = false;
   bool mHasCrashed = false;
   std::string mRetryAfter;
+  std::string mLimit;
   Relay::Listener mListener;
 };
 
