Divide the limit that an endpoint states among a few VMs, and tell all VMs

What callers and operators saw: engines that named a limit of 1 to 3.2 requests a second got 14 to 39 in 4 s (allowed 11 to 24).

Cause: the statement was not read, and what an endpoint states about itself stayed with the VM that heard it. A limit concerns the fleet: VMs that each keep to it alone send 8 to 295 times as much.

Change: the limit is part of what an endpoint has announced, by lifetime. The registry takes an endpoint without a permit out of the candidates, for first attempts, repeats, hedges and cascades alike. If only limits keep a request, it waits for a permit that comes in time, or is refused with the time at which one comes. News of limits and of endpoints that leave is pushed to the readers like crashes are, and reaches the others with their polls.

--- a/Libraries/LibRelay/EndpointAnnouncements.cpp
+++ b/Libraries/LibRelay/EndpointAnnouncements.cpp
@@ -45,6 +45,41 @@
   return found->second.mAnnouncement;
 }
 
+std::vector<AnnouncementReport> ReportsOf(const AnnouncementMemory& aMemory)
+{
+  std::vector<AnnouncementReport> reports;
+  for (const auto& [lifetime, entry] : aMemory.mEntries) {
+    const EndpointAnnouncement& announcement = entry.mAnnouncement;
+    const bool isForAll =
+      announcement.mIsLeaving || announcement.mLimit.mStatedAt != TimePoint{};
+    if (isForAll) {
+      reports.push_back(
+        { lifetime, announcement.mIsLeaving, announcement.mLimit });
+    }
+  }
+  return reports;
+}
+
+EndpointAnnouncement WithReport(EndpointAnnouncement aAnnouncement,
+                                const AnnouncementReport& aReport)
+{
+  aAnnouncement.mIsLeaving = aAnnouncement.mIsLeaving || aReport.mIsLeaving;
+  if (aReport.mLimit.mStatedAt > aAnnouncement.mLimit.mStatedAt) {
+    aAnnouncement.mLimit = aReport.mLimit;
+  }
+  return aAnnouncement;
+}
+
+bool IsNews(const EndpointAnnouncement& aAnnouncement,
+            const EndpointAnnouncement& aBefore)
+{
+  const RequestLimit& limit = aAnnouncement.mLimit;
+  const RequestLimit& before = aBefore.mLimit;
+  return aAnnouncement.mIsLeaving != aBefore.mIsLeaving ||
+         IsInForce(limit) != IsInForce(before) ||
+         (IsInForce(limit) && limit.mPerSecond != before.mPerSecond);
+}
+
 void ForgetUnlisted(AnnouncementMemory& aMemory, TimePoint aNow)
 {
   std::erase_if(aMemory.mEntries, [aNow](const auto& aEntry) {
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -79,11 +79,6 @@
   return XXH3_64bits(aText.data(), aText.size());
 }
 
-EndpointLifetime LifetimeOf(const EndpointRecord& aRecord)
-{
-  return { aRecord.mId, aRecord.mIncarnation, aRecord.mAddress };
-}
-
 bool CachesPrefix(const Endpoint& aEndpoint,
                   std::uint64_t aHash,
                   TimePoint aNow)
@@ -95,17 +90,6 @@
 
 } // namespace
 
-bool EndpointRegistry::RecordLeaving(Endpoint& aEndpoint, TimePoint aNow)
-{
-  const bool isNews = !aEndpoint.mAnnouncement.mIsLeaving;
-  aEndpoint.mAnnouncement.mIsLeaving = true;
-  Remember(mAnnouncements,
-           LifetimeOf(aEndpoint.mRecord),
-           aEndpoint.mAnnouncement,
-           aNow);
-  return isNews;
-}
-
 bool HasEnded(const Endpoint& aEndpoint, TimePoint aNow)
 {
   return aEndpoint.mEndedAt != TimePoint{} &&
@@ -117,39 +101,6 @@
   aEndpoint.mEndedAt = aNow;
 }
 
-bool EndpointRegistry::RecordQuietTime(Endpoint& aEndpoint,
-                                       Duration aAsked,
-                                       double aJitter,
-                                       TimePoint aNow)
-{
-  QuietPeriod& quiet = aEndpoint.mAnnouncement.mQuiet;
-  const bool isNews = !IsQuiet(quiet, aNow);
-  quiet = WithQuietTime(quiet, aAsked, aJitter, aNow);
-  Remember(mAnnouncements,
-           LifetimeOf(aEndpoint.mRecord),
-           aEndpoint.mAnnouncement,
-           aNow);
-  return isNews;
-}
-
-bool EndpointRegistry::RecordLimit(Endpoint& aEndpoint,
-                                   std::optional<double> aPerSecond,
-                                   TimePoint aNow)
-{
-  RequestLimit& limit = aEndpoint.mAnnouncement.mLimit;
-  const RequestLimit before = limit;
-  limit = WithStatement(limit, aPerSecond, aNow);
-  if (limit == before) {
-    return false;
-  }
-  Remember(mAnnouncements,
-           LifetimeOf(aEndpoint.mRecord),
-           aEndpoint.mAnnouncement,
-           aNow);
-  return IsInForce(limit) != IsInForce(before) ||
-         limit.mPerSecond != before.mPerSecond;
-}
-
 void EndpointRegistry::Replace(const std::vector<EndpointRecord>& aRecords,
                                TimePoint aNow)
 {
@@ -260,6 +211,7 @@
   std::vector<EndpointView> views;
   std::uint32_t full = 0;
   std::uint32_t usable = 0;
+  LimitedEndpoints limited;
   std::optional<TimePoint> quietUntil;
   bool allWantQuiet = true;
   for (std::uint32_t index = 0; index < all.size(); ++index) {
@@ -293,6 +245,17 @@
       ++full;
       continue;
     }
+    const std::optional<double> limit =
+      EffectiveLimit(endpoint.mAnnouncement.mLimit, aNow);
+    if (limit) {
+      const auto share = PermitShareOf(*all[index], *limit);
+      const TimePoint next =
+        share ? NextPermitAt(endpoint.mPermits, *share) : TimePoint::max();
+      if (next > aNow) {
+        limited = WithEndpoint(limited, *limit, share, next);
+        continue;
+      }
+    }
     EndpointView view;
     view.mIndex = index;
     view.mKey = HashOf(endpoint.mRecord.mId);
@@ -352,7 +315,12 @@
     secondsPerToken * static_cast<double>(aQuery.mWork.mSharedPrefixTokens);
   const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
   EndpointSelection selection;
-  selection.mIsFull = usable > 0 && full == usable;
+  const bool mayWait = full > 0 || limited.mOwnPerSecond > 0;
+  selection.mIsFull = mayWait && full + limited.mCount == usable;
+  if (full + limited.mCount == usable) {
+    selection.mLimited = limited;
+    selection.mIsAnyFull = full > 0;
+  }
   if (allWantQuiet) {
     selection.mQuietUntil = quietUntil;
   }
@@ -374,6 +342,12 @@
 {
   aEndpoint.mInFlight += 1;
   aEndpoint.mLastAttemptAt = aNow;
+  const std::optional<double> limit =
+    EffectiveLimit(aEndpoint.mAnnouncement.mLimit, aNow);
+  aEndpoint.mPermits =
+    WithUse(aEndpoint.mPermits,
+            limit ? PermitShareOf(aEndpoint, *limit) : std::nullopt,
+            aNow);
   aEndpoint.mWaitingPromptTokens += aWork.mPromptTokens;
   aEndpoint.mWaitingAttempts += 1;
   if (aWork.mSharedPrefixHash != 0) {
--- /dev/null
+++ b/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
@@ -0,0 +1,135 @@
+#include <Acaciavale/LibRelay/EndpointRegistry.h>
+
+#include <xxhash.h>
+
+/// The part of EndpointRegistry that keeps what endpoints state about
+/// themselves, and divides their limits among the VMs.
+namespace Acaciavale::Relay {
+
+namespace {
+
+std::uint64_t KeyOf(const std::string& aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+} // namespace
+
+EndpointLifetime LifetimeOf(const EndpointRecord& aRecord)
+{
+  return { aRecord.mId, aRecord.mIncarnation, aRecord.mAddress };
+}
+
+void EndpointRegistry::SetLiveVms(const std::string& aSelf,
+                                  const std::vector<std::string>& aNames)
+{
+  std::vector<std::uint64_t> keys;
+  keys.reserve(aNames.size());
+  for (const std::string& name : aNames) {
+    keys.push_back(KeyOf(name));
+  }
+  const std::uint64_t self = KeyOf(aSelf);
+  if (keys != mLiveVmKeys || self != mSelfKey) {
+    mSelfKey = self;
+    mLiveVmKeys = std::move(keys);
+    mLiveVmsList += 1;
+  }
+}
+
+std::optional<PermitShare> EndpointRegistry::PermitShareOf(Endpoint& aEndpoint,
+                                                           double aLimit) const
+{
+  if (!aEndpoint.mPermitRank || aEndpoint.mPermitRankOfList != mLiveVmsList) {
+    aEndpoint.mPermitRank =
+      PermitRank(KeyOf(aEndpoint.mRecord.mId), mSelfKey, mLiveVmKeys);
+    aEndpoint.mPermitRankOfList = mLiveVmsList;
+  }
+  return ShareOf(aLimit,
+                 aEndpoint.mPermitRank,
+                 static_cast<std::uint32_t>(mLiveVmKeys.size()));
+}
+
+bool EndpointRegistry::RecordLeaving(Endpoint& aEndpoint, TimePoint aNow)
+{
+  const bool isNews = !aEndpoint.mAnnouncement.mIsLeaving;
+  aEndpoint.mAnnouncement.mIsLeaving = true;
+  Remember(mAnnouncements,
+           LifetimeOf(aEndpoint.mRecord),
+           aEndpoint.mAnnouncement,
+           aNow);
+  return isNews;
+}
+
+bool EndpointRegistry::RecordQuietTime(Endpoint& aEndpoint,
+                                       Duration aAsked,
+                                       double aJitter,
+                                       TimePoint aNow)
+{
+  QuietPeriod& quiet = aEndpoint.mAnnouncement.mQuiet;
+  const bool isNews = !IsQuiet(quiet, aNow);
+  quiet = WithQuietTime(quiet, aAsked, aJitter, aNow);
+  Remember(mAnnouncements,
+           LifetimeOf(aEndpoint.mRecord),
+           aEndpoint.mAnnouncement,
+           aNow);
+  return isNews;
+}
+
+bool EndpointRegistry::RecordLimit(Endpoint& aEndpoint,
+                                   std::optional<double> aPerSecond,
+                                   TimePoint aNow)
+{
+  const EndpointAnnouncement before = aEndpoint.mAnnouncement;
+  RequestLimit& limit = aEndpoint.mAnnouncement.mLimit;
+  limit = WithStatement(limit, aPerSecond, aNow);
+  if (limit == before.mLimit) {
+    return false;
+  }
+  Remember(mAnnouncements,
+           LifetimeOf(aEndpoint.mRecord),
+           aEndpoint.mAnnouncement,
+           aNow);
+  return IsNews(aEndpoint.mAnnouncement, before);
+}
+
+std::vector<AnnouncementReport> EndpointRegistry::Announcements() const
+{
+  return ReportsOf(mAnnouncements);
+}
+
+bool EndpointRegistry::ApplyAnnouncements(
+  const std::vector<AnnouncementReport>& aReports,
+  TimePoint aNow)
+{
+  bool isNews = false;
+  for (const AnnouncementReport& report : aReports) {
+    const auto remembered = mAnnouncements.mEntries.find(report.mLifetime);
+    const auto listed = mEndpoints.find(report.mLifetime.mId);
+    const bool isListed =
+      listed != mEndpoints.end() &&
+      LifetimeOf(listed->second->mRecord) == report.mLifetime;
+    // NOTE: An endpoint that is not listed is not learned from others: VMs
+    // would
+    //       go on telling each other of it for ever.
+    if (!isListed && remembered == mAnnouncements.mEntries.end()) {
+      continue;
+    }
+    const EndpointAnnouncement before = isListed
+                                          ? listed->second->mAnnouncement
+                                          : remembered->second.mAnnouncement;
+    const EndpointAnnouncement after = WithReport(before, report);
+    if (after == before) {
+      continue;
+    }
+    isNews = isNews || IsNews(after, before);
+    if (isListed) {
+      listed->second->mAnnouncement = after;
+      Remember(mAnnouncements, report.mLifetime, after, aNow);
+    } else {
+      remembered->second.mAnnouncement = after;
+    }
+  }
+  return isNews;
+}
+
+} // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -27,10 +27,6 @@
 /// also when the share is small.
 constexpr double kSlotShareFactor = 2;
 constexpr std::int32_t kMinimumSlots = 4;
-/// Share of the goal for the first event after which a queued request is
-/// refused.
-constexpr double kQueueGoalShare = 0.75;
-
 /// A number in [0, 1) derived from the text, equal on all VMs.
 double DrawFromText(const std::string& aText)
 {
@@ -227,11 +223,16 @@
     };
     selection =
       mState->mRegistry.Choose(query, mState->mRandom, MonotonicNow());
-    if (selection.mEndpoint || selection.mIsFull) {
+    // NOTE: A session waits for its version. Other requests rather run on
+    //       another version than wait for an endpoint with a limit.
+    const bool isLimited = selection.mLimited.mCount > 0;
+    if (selection.mEndpoint || (isLimited ? hasSession : selection.mIsFull)) {
       break;
     }
   }
   mQuietUntil = selection.mQuietUntil;
+  mLimited = selection.mLimited;
+  mIsAnyEndpointFull = selection.mIsAnyFull;
   return selection;
 }
 
@@ -256,59 +257,6 @@
   return true;
 }
 
-void Exchange::JoinQueue()
-{
-  PoolQueue& poolQueue = mState->mQueues[mPool];
-  WaitingRequest waiting;
-  waiting.mUrgency = UrgencyOf(*mSettings, mAccount, *mRoute);
-  waiting.mAccount = mAccount == nullptr ? "" : mAccount->mName;
-  waiting.mQueuedAt = MonotonicNow();
-  waiting.mStartBy =
-    std::min(mDeadline,
-             mArrivedAt + FromSeconds(kQueueGoalShare *
-                                      InSeconds(mRoute->mFirstEventGoal)));
-  const double secondsLeft = InSeconds(waiting.mStartBy - waiting.mQueuedAt);
-  const std::size_t ahead =
-    poolQueue.mQueue.CountAhead(waiting, waiting.mQueuedAt);
-  if (secondsLeft <= 0 ||
-      CannotStartInTime(poolQueue.mStartInterval, ahead, secondsLeft)) {
-    Fail();
-    return;
-  }
-  mQueueTicket = poolQueue.mQueue.Add(waiting);
-  poolQueue.mWaiting[*mQueueTicket] = weak_from_this();
-  mQueueTimer.StartTimeout(
-    waiting.mStartBy - waiting.mQueuedAt,
-    [self = shared_from_this()] {
-      if (self->mQueueTicket) {
-        self->Fail();
-      }
-    },
-    kTimeToCatchUp);
-}
-
-bool Exchange::TryLeaveQueue()
-{
-  if (mIsOver || !mQueueTicket) {
-    return true;
-  }
-  if (RefuseUnsafePrompt()) {
-    return true;
-  }
-  const EndpointSelection selection = SelectEndpoint();
-  if (!selection.mEndpoint && selection.mIsFull) {
-    return false;
-  }
-  mQueueTicket.reset();
-  mQueueTimer.Cancel();
-  if (selection.mEndpoint) {
-    StartAttempt(selection);
-  } else {
-    Fail();
-  }
-  return true;
-}
-
 double Exchange::SecondsLeft() const
 {
   return InSeconds(mDeadline - MonotonicNow());
@@ -394,6 +342,10 @@
     return;
   }
   const PoolQueue& queue = mState->mQueues[mPool];
+  if (mLimited.mCount > 0 && !mIsAnyEndpointFull) {
+    RefuseUntilPermit(queue.mQueue.size());
+    return;
+  }
   Refuse(503,
          mQueueTicket ? "no place came free in time" : "no endpoint took it",
          RetryAfter(
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -116,6 +116,7 @@
   void OnEndpointLimit(const Attempt& aAttempt);
   void LogEndOfQuiet(const Endpoint& aEndpoint) const;
   void RefuseUntilQuietEnds(TimePoint aEnd);
+  void RefuseUntilPermit(std::size_t aAhead);
   // ExchangeCrashes.cpp: endpoints that end, and prompts that crash them.
   PromptDecision PromptDecisionNow() const;
   bool RefuseUnsafePrompt();
@@ -163,6 +164,10 @@
   std::optional<std::int64_t> mLastEventId;
   /// Earliest end of the quiet times, if all endpoints wanted quiet.
   std::optional<TimePoint> mQuietUntil;
+  /// The endpoints whose limits kept the request waiting at the last selection,
+  /// and whether others were full.
+  LimitedEndpoints mLimited;
+  bool mIsAnyEndpointFull = false;
   /// Latest error response of an endpoint, for the caller if no retry succeeds.
   std::optional<ResponseHead> mErrorResponseHead;
   std::string mErrorResponseBody;
--- a/Libraries/LibRelay/ExchangeAnnouncements.cpp
+++ b/Libraries/LibRelay/ExchangeAnnouncements.cpp
@@ -36,6 +36,9 @@
         { "status", std::to_string(aAttempt.mHead.result_int()) },
         { "listed-as", endpoint.mRecord.mIsDraining ? "draining" : "ready" },
         { "open-attempts", std::to_string(endpoint.mInFlight) } });
+  if (mState->mOnAnnouncement) {
+    mState->mOnAnnouncement();
+  }
 }
 
 void Exchange::OnEndpointQuiet(const Attempt& aAttempt)
@@ -112,6 +115,9 @@
           IsInForce(before) ? std::to_string(before.mPerSecond) : "none" },
         { "status", std::to_string(aAttempt.mHead.result_int()) },
         { "open-attempts", std::to_string(endpoint.mInFlight) } });
+  if (mState->mOnAnnouncement) {
+    mState->mOnAnnouncement();
+  }
 }
 
 void Exchange::LogEndOfQuiet(const Endpoint& aEndpoint) const
@@ -139,4 +145,15 @@
                      (1 + kRetryAfterSpread * mState->mRandom.Unit())));
 }
 
+/// Refuses the request, as all endpoints that may run it limit their requests.
+void Exchange::RefuseUntilPermit(std::size_t aAhead)
+{
+  mState->mMetrics.Count("acaciavale_relay_refusals_by_limits_total",
+                         { { "pool", mPool } });
+  Refuse(
+    503,
+    "the endpoints limit the requests that they take",
+    RetryAfterLimit(mLimited, aAhead, mState->mRandom.Unit(), MonotonicNow()));
+}
+
 } // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -83,6 +83,26 @@
   }
 }
 
+void RelayState::ServeQueueAt(const std::string& aPool, TimePoint aTime)
+{
+  PoolQueue& queue = mQueues[aPool];
+  if (aTime >= queue.mPermitTimerAt) {
+    return;
+  }
+  if (!queue.mPermitTimer) {
+    queue.mPermitTimer = std::make_unique<Timer>(mLoop);
+  }
+  queue.mPermitTimerAt = aTime;
+  queue.mPermitTimer->Start(std::max(Duration{}, aTime - MonotonicNow()),
+                            [weak = weak_from_this(), aPool] {
+                              if (const auto state = weak.lock()) {
+                                state->mQueues[aPool].mPermitTimerAt =
+                                  TimePoint::max();
+                                state->ServeQueue(aPool);
+                              }
+                            });
+}
+
 RequestRelay::RequestRelay(boost::asio::io_context& aLoop,
                            WireCodec aCodec,
                            RelayOptions aOptions)
@@ -114,6 +134,7 @@
     }
     mState->mSettings = std::move(aView.mSettings);
   }
+  mState->mRegistry.SetLiveVms(mState->mOptions.mVmName, aView.mServingVms);
   mState->mRegistry.Replace(aView.mEndpoints, MonotonicNow());
   for (const auto& [pool, shift] : aView.mTrafficShifts) {
     const auto known = mState->mTrafficShifts.find(pool);
@@ -125,7 +146,8 @@
     }
   }
   mState->mTrafficShifts = std::move(aView.mTrafficShifts);
-  mState->mLiveVms = std::max<std::int64_t>(1, aView.mLiveVms);
+  mState->mLiveVms = std::max<std::int64_t>(
+    1, static_cast<std::int64_t>(aView.mServingVms.size()));
   mState->mReadStartedAt = aView.mReadStartedAt;
   mState->mHasFleetView = true;
   mState->mSnapshotFailed = false;
@@ -197,6 +219,31 @@
   mState->mRegistry.ApplyLoadReports(aReports, MonotonicNow());
 }
 
+void RequestRelay::OnAnnouncement(std::function<void()> aHandler)
+{
+  mState->mOnAnnouncement = std::move(aHandler);
+}
+
+std::vector<AnnouncementReport> RequestRelay::Announcements() const
+{
+  return mState->mRegistry.Announcements();
+}
+
+void RequestRelay::ApplyAnnouncements(
+  const std::vector<AnnouncementReport>& aReports)
+{
+  if (!mState->mRegistry.ApplyAnnouncements(aReports, MonotonicNow())) {
+    return;
+  }
+  std::vector<std::string> pools;
+  for (const auto& [pool, queue] : mState->mQueues) {
+    pools.push_back(pool);
+  }
+  for (const std::string& pool : pools) {
+    mState->ServeQueue(pool);
+  }
+}
+
 void RequestRelay::OnCrashEvidence(std::function<void()> aHandler)
 {
   mState->mOnCrashEvidence = std::move(aHandler);
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -2,6 +2,7 @@
 
 #include <Acaciavale/LibCore/Random.h>
 #include <Acaciavale/LibRelay/Relay.h>
+#include <Acaciavale/LibRelay/Timer.h>
 #include <Acaciavale/LibRelay/VersionEvidence.h>
 #include <Acaciavale/LibRelay/WaitQueue.h>
 #include <Acaciavale/LibReport/Metrics.h>
@@ -21,6 +22,9 @@
   WaitQueue mQueue;
   std::map<WaitTicket, std::weak_ptr<Exchange>> mWaiting;
   StartInterval mStartInterval;
+  /// Serves the queue when a permit for an endpoint with a limit accrues.
+  std::unique_ptr<Timer> mPermitTimer;
+  TimePoint mPermitTimerAt = TimePoint::max();
 };
 
 /// The state that all exchanges of a relay share. Only one thread uses it.
@@ -57,6 +61,7 @@
   /// Suspect parts of the prompts of attempts that have no event yet.
   std::multiset<std::uint64_t> mOpenTrials;
   std::function<void()> mOnCrashEvidence; ///< Called after a crash.
+  std::function<void()> mOnAnnouncement;  ///< Called after news of endpoints.
   /// Checks of endpoints that are under way, with those who wait for them.
   std::map<const Endpoint*, std::vector<std::function<void(bool)>>>
     mEndpointChecks;
@@ -82,6 +87,9 @@
 
   /// Starts queued requests of the pool while endpoints have free slots.
   void ServeQueue(const std::string& aPool);
+
+  /// Serves the queue of the pool again at aTime, or earlier.
+  void ServeQueueAt(const std::string& aPool, TimePoint aTime);
 };
 
 } // namespace Acaciavale::Relay
--- a/Tests/Platform/TestLimitedEndpoint.cpp
+++ b/Tests/Platform/TestLimitedEndpoint.cpp
@@ -99,6 +99,28 @@
     return static_cast<double>(most);
   }
 
+  Response Request()
+  {
+    return mFixture.Call({ "POST", "/once/x", "body", {} });
+  }
+
+  /// Sends requests until one is refused; the endpoint may take a few at once.
+  void UsePermits()
+  {
+    int answered = 0;
+    while (Request().mHead.result_int() == 200) {
+      ++answered;
+    }
+    CHECK(answered > 0);
+    CHECK(answered <= 5);
+  }
+
+  static double RetryAfter(const Response& aResponse)
+  {
+    const auto text = aResponse.mHead["Retry-After"];
+    return text.empty() ? 0 : std::stod(std::string(text));
+  }
+
   static double Allowed(double aPerSecond)
   {
     return kAllowedRatio * InSeconds(kWindow) * aPerSecond + kAllowedSlack;
@@ -124,3 +146,148 @@
   SendFor(std::chrono::seconds(8), Addresses());
   CHECK(MostInWindow(*mLimited, start + kTimeToFollow) <= Allowed(1.2));
 }
+
+/// The other VMs learn the limit before they send a first request.
+TEST(LimitedEndpoint, VmsThatWereNotToldKeepToTheLimit)
+{
+  mFixture.AddEndpoint("desk", "i-2", RespondWith("answer"));
+  mLimited->SetLimit("0");
+  StartNodes(8);
+  std::vector<std::string> addresses = Addresses();
+  while (mLimited->mArrivals.empty()) {
+    SendFor(std::chrono::milliseconds(20), { addresses.front() });
+  }
+  mFixture.RunFor(std::chrono::seconds(2));
+  addresses.erase(addresses.begin());
+  mLimited->mArrivals.clear();
+  SendFor(std::chrono::seconds(2), addresses);
+  CHECK(mLimited->mArrivals.size() <= 3);
+}
+
+/// Rejected requests count, and are repeated elsewhere.
+TEST(LimitedEndpoint, RejectionsCountToo)
+{
+  mFixture.AddEndpoint("desk", "i-2", RespondWith("answer"));
+  mLimited->SetScript(RefuseWith(503, true));
+  mLimited->SetLimit("1.2");
+  mFixture.StartNode();
+  SendFor(std::chrono::seconds(5), { mFixture.mNode->CallerAddress() });
+  CHECK(MostInWindow(*mLimited, {}) <= Allowed(1.2));
+  mFixture.RunFor(std::chrono::milliseconds(100));
+  for (const auto& response : mResponses) {
+    LONGS_EQUAL(200, response->mHead.result_int());
+  }
+}
+
+TEST(LimitedEndpoint, RequestsAreRefusedAtOnceIfAllHaveLimits)
+{
+  Replica& other = mFixture.AddEndpoint("desk", "i-2", RespondWith("answer"));
+  mLimited->SetLimit("0.5");
+  other.SetLimit("0.5");
+  mFixture.StartNode();
+  while (mLimited->mArrivals.empty() || other.mArrivals.empty()) {
+    Request();
+  }
+  while (Request().mHead.result_int() == 200) {
+  }
+  const TimePoint start = MonotonicNow();
+  for (int request = 0; request < 10; ++request) {
+    const Response response = Request();
+    LONGS_EQUAL(503, response.mHead.result_int());
+    CHECK(RetryAfter(response) > 0.5);
+    CHECK(RetryAfter(response) <= 2.5);
+  }
+  CHECK(MonotonicNow() - start < std::chrono::milliseconds(300));
+}
+
+/// A permit that comes soon is waited for.
+TEST(LimitedEndpoint, ARequestWaitsForTheNextPermit)
+{
+  mLimited->SetLimit("10");
+  mFixture.StartNode();
+  for (int request = 0; request < 30; ++request) {
+    LONGS_EQUAL(200, Request().mHead.result_int());
+  }
+  CHECK(MostInWindow(*mLimited, {}) <= Allowed(10));
+}
+
+TEST(LimitedEndpoint, TheEndOfALimitIsLearned)
+{
+  mFixture.AddEndpoint("desk", "i-2", RespondWith("answer"));
+  mLimited->SetLimit("1");
+  mFixture.StartNode();
+  const std::vector<std::string> address{ mFixture.mNode->CallerAddress() };
+  SendFor(std::chrono::seconds(1), address);
+  mLimited->SetLimit("");
+  SendFor(std::chrono::seconds(5), address);
+  mLimited->mArrivals.clear();
+  SendFor(std::chrono::seconds(1), address);
+  CHECK(mLimited->mArrivals.size() > 10);
+}
+
+/// A new lifetime begins without a limit.
+TEST(LimitedEndpoint, ARestartEndsTheLimit)
+{
+  mLimited->SetLimit("0.3");
+  mFixture.StartNode();
+  UsePermits();
+  mLimited->SetLimit("");
+  std::string entry = *mFixture.mStore.Value("servers/i-1");
+  entry.insert(entry.rfind('}'), ",\"born\":1790000000000");
+  mFixture.mStore.Put("servers/i-1", entry);
+  mFixture.RunUntilStoreRead();
+  mFixture.RunFor(std::chrono::milliseconds(50));
+  LONGS_EQUAL(200, Request().mHead.result_int());
+  LONGS_EQUAL(200, Request().mHead.result_int());
+}
+
+/// Texts that cannot be read, and responses that are not the endpoint's own to
+/// the request, neither begin nor end a limit.
+TEST(LimitedEndpoint, InvalidStatementsChangeNothing)
+{
+  for (const char* const text : { "-1", "soon", "1e1", "" }) {
+    mLimited->SetLimit(text);
+    if (!mFixture.mNode) {
+      mFixture.StartNode();
+    }
+    LONGS_EQUAL(200, Request().mHead.result_int());
+    LONGS_EQUAL(200, Request().mHead.result_int());
+  }
+  mLimited->SetLimit("0.3");
+  LONGS_EQUAL(200, Request().mHead.result_int());
+  mLimited->SetLimit("soon");
+  UsePermits();
+  LONGS_EQUAL(503, Request().mHead.result_int());
+}
+
+TEST(LimitedEndpoint, StreamsAndTheirRepeatsKeepToTheLimit)
+{
+  Replica& engine = mFixture.AddEndpoint("engines", "i-3", StreamEvents(3, 1));
+  mFixture.AddEndpoint("engines", "i-4", StreamEvents(3));
+  engine.SetLimit("1.2");
+  mFixture.StartNode();
+  const TimePoint end = MonotonicNow() + std::chrono::seconds(5);
+  while (MonotonicNow() < end) {
+    const Response response =
+      mFixture.Call({ "POST", "/stream/x", "body", {} });
+    LONGS_EQUAL(200, response.mHead.result_int());
+    mFixture.RunFor(std::chrono::milliseconds(20));
+  }
+  CHECK(MostInWindow(engine, {}) <= Allowed(1.2));
+}
+
+/// What an endpoint states to one VM, that it leaves, all VMs follow.
+TEST(LimitedEndpoint, VmsThatWereNotToldKeepAwayFromOneThatLeaves)
+{
+  mFixture.AddEndpoint("desk", "i-2", RespondWith("answer"));
+  mLimited->SetSaysThatItLeaves(true);
+  StartNodes(8);
+  std::vector<std::string> addresses = Addresses();
+  while (mLimited->mArrivals.empty()) {
+    SendFor(std::chrono::milliseconds(20), { addresses.front() });
+  }
+  mFixture.RunFor(std::chrono::seconds(2));
+  mLimited->mArrivals.clear();
+  SendFor(std::chrono::seconds(1), addresses);
+  UNSIGNED_LONGS_EQUAL(0, mLimited->mArrivals.size());
+}
--- a/include/Acaciavale/LibRelay/EndpointAnnouncements.h
+++ b/include/Acaciavale/LibRelay/EndpointAnnouncements.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 /// What endpoints state about themselves in their responses. It is this VM's
 /// own evidence and goes before the platform's list, which may be older: the
@@ -33,6 +34,17 @@
   auto operator<=>(const EndpointAnnouncement&) const = default;
 };
 
+/// What one lifetime of an endpoint has stated, as VMs exchange it. The quiet
+/// time is not among it: the endpoint turned one VM's request away.
+struct AnnouncementReport
+{
+  EndpointLifetime mLifetime;
+  bool mIsLeaving = false;
+  RequestLimit mLimit;
+
+  auto operator<=>(const AnnouncementReport&) const = default;
+};
+
 /// The announcements by lifetime, with the time at which each endpoint was last
 /// listed or heard.
 struct AnnouncementMemory
@@ -57,6 +69,19 @@
                             const EndpointLifetime& aLifetime,
                             TimePoint aNow);
 
+/// The statements that other VMs should know.
+std::vector<AnnouncementReport> ReportsOf(const AnnouncementMemory& aMemory);
+
+/// Returns the announcement with what the report adds: the later statement of
+/// the limit counts.
+EndpointAnnouncement WithReport(EndpointAnnouncement aAnnouncement,
+                                const AnnouncementReport& aReport);
+
+/// Whether the announcement states something that the other one does not, apart
+/// from the time of a statement.
+bool IsNews(const EndpointAnnouncement& aAnnouncement,
+            const EndpointAnnouncement& aBefore);
+
 /// Forgets endpoints that have not been listed for long.
 void ForgetUnlisted(AnnouncementMemory& aMemory, TimePoint aNow);
 
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -91,10 +91,16 @@
   std::int32_t mInFlightAtReport = 0;
   std::int32_t mWaitingAttemptsAtReport = 0;
   TimePoint mLoadReportedAt{};
+  PermitState mPermits; ///< Use of this VM's permits, if there is a limit.
+  /// This VM's rank for permits, and the list of VMs that it was derived from.
+  std::optional<std::uint32_t> mPermitRank;
+  std::uint64_t mPermitRankOfList = 0;
   /// Time of the latest attempt of this VM for each hash of a shared prefix.
   std::map<std::uint64_t, TimePoint> mSharedPrefixes;
 };
 
+EndpointLifetime LifetimeOf(const EndpointRecord& aRecord);
+
 /// Whether no process listened at the endpoint's address a short time ago.
 bool HasEnded(const Endpoint& aEndpoint, TimePoint aNow);
 
@@ -144,6 +150,10 @@
   /// Earliest end of the quiet times, if all endpoints that may
   /// run the work want quiet.
   std::optional<TimePoint> mQuietUntil;
+  /// The endpoints that only their limits keep from being selected, if all
+  /// that may run the work have limits or are full.
+  LimitedEndpoints mLimited;
+  bool mIsAnyFull = false; ///< Some of them are at their limit of attempts.
   double mExpectedFirstEventSeconds = 0;
   std::string_view mReason;
 };
@@ -155,6 +165,11 @@
   /// endpoint that was not restarted are kept.
   void Replace(const std::vector<EndpointRecord>& aRecords, TimePoint aNow);
 
+  /// Sets the live VMs, which divide the limits of endpoints, and this VM's
+  /// name among them.
+  void SetLiveVms(const std::string& aSelf,
+                  const std::vector<std::string>& aNames);
+
   /// Records that the endpoint has stated in a response that it is about to
   /// stop. It is not selected again. Returns whether this is news.
   bool RecordLeaving(Endpoint& aEndpoint, TimePoint aNow);
@@ -176,6 +191,13 @@
                    std::optional<double> aPerSecond,
                    TimePoint aNow);
 
+  /// What endpoints have stated to this or another VM, for other VMs.
+  std::vector<AnnouncementReport> Announcements() const;
+  /// Applies what endpoints have stated to other VMs. Returns whether this is
+  /// news.
+  bool ApplyAnnouncements(const std::vector<AnnouncementReport>& aReports,
+                          TimePoint aNow);
+
   std::vector<std::shared_ptr<Endpoint>> EndpointsOf(
     const std::string& aPool) const;
 
@@ -234,12 +256,18 @@
   /// samples.
   PoolLatencyModel LatencyModelOf(const std::string& aPool,
                                   const AttemptWork& aWork) const;
+  /// This VM's share in the limit of the endpoint; empty if it holds none.
+  std::optional<PermitShare> PermitShareOf(Endpoint& aEndpoint,
+                                           double aLimit) const;
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
   /// Endpoints by id.
   std::map<std::string, std::shared_ptr<Endpoint>> mEndpoints;
   AnnouncementMemory mAnnouncements;
+  std::uint64_t mSelfKey = 0;             ///< Hash of this VM's name.
+  std::vector<std::uint64_t> mLiveVmKeys; ///< Hashes of the VMs' names.
+  std::uint64_t mLiveVmsList = 0;         ///< Number of the list of VMs.
   /// Latency models by pool and model.
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -24,6 +24,7 @@
 /// The deployment's options for the relay of one VM.
 struct RelayOptions
 {
+  std::string mVmName;        ///< Name of this VM.
   std::string mFailureDomain; ///< Failure domain of this VM.
   /// Maximum age of the settings for requests that need a key. With older
   /// settings, the relay cannot tell whether a key has been revoked.
@@ -53,7 +54,8 @@
   std::vector<EndpointRecord> mEndpoints;
   /// Ordered roll-outs by pool.
   std::map<std::string, TrafficShift> mTrafficShifts;
-  std::int64_t mLiveVms = 1;
+  /// Names of the VMs that serve callers; empty: only this one is known.
+  std::vector<std::string> mServingVms;
   /// Start of the read that returned the snapshot, by SuspendAwareNow.
   TimePoint mReadStartedAt{};
 };
@@ -106,6 +108,14 @@
   /// Applies the loads that endpoints reported to other VMs, if newer.
   void ApplyLoadReports(const std::vector<LoadReport>& aReports);
 
+  /// Sets a handler that is called after an endpoint has stated in a response
+  /// what other VMs should know.
+  void OnAnnouncement(std::function<void()> aHandler);
+  /// What endpoints have stated to this or another VM.
+  std::vector<AnnouncementReport> Announcements() const;
+  /// Applies what endpoints have stated to other VMs, if later.
+  void ApplyAnnouncements(const std::vector<AnnouncementReport>& aReports);
+
   /// Sets a handler that is called after an endpoint has ended under requests
   /// of this VM.
   void OnCrashEvidence(std::function<void()> aHandler);
