--- a/Benchmarks/DecisionMeasure.cpp
+++ b/Benchmarks/DecisionMeasure.cpp
@@ -26,6 +26,7 @@
   { "half-slow", MeasureHalfSlow }, { "cascade", MeasureCascade },
   { "returns", MeasureReturns },    { "tenant", MeasureTenant },
   { "crash", MeasureCrash },        { "quiet", MeasureQuiet },
+  { "limit", MeasureLimit },
 
 };
 
--- a/Benchmarks/DecisionMeasureParts/Rows.h
+++ b/Benchmarks/DecisionMeasureParts/Rows.h
@@ -20,6 +20,7 @@
 void MeasureReturns();
 void MeasureTenant();
 void MeasureCrash();
+void MeasureLimit();
 void MeasureQuiet();
 
 } // namespace Acaciavale::DecisionMeasure
