Send cold endpoints what they bear, and nothing to evacuated failure domains

Cause: the VMs read neither cold-left-ms, cold-per-s nor op/evacuate.

Change: an endpoint that is cold has a bound on the rate of all VMs, divided like a stated limit (EndpointLimit, one mechanism; the stricter of both counts). It is known from the endpoint's entry before the first request, and a changed entry begins or ends it. Endpoints of a failure domain with an order are no candidates; what runs there ends there.

--- a/Benchmarks/DecisionMeasureParts/LimitSimulation.cpp
+++ b/Benchmarks/DecisionMeasureParts/LimitSimulation.cpp
@@ -210,8 +210,9 @@
   {
     const auto vms = static_cast<std::uint32_t>(aVm.mLiveKeys.size());
     if (mScenario.mPolicy == LimitPolicy::Ours) {
-      return ShareOf(
-        aLimit, PermitRank(aEndpoint + 1, aVm.mKey, aVm.mLiveKeys), vms);
+      return ShareOf(BoundOfLimit(aLimit),
+                     PermitRank(aEndpoint + 1, aVm.mKey, aVm.mLiveKeys),
+                     vms);
     }
     const double share =
       mScenario.mPolicy == LimitPolicy::EqualShares ? 1.0 / vms : 1;
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -112,6 +112,11 @@
       known->second->mRecord.mIncarnation == record.mIncarnation &&
       known->second->mRecord.mAddress == record.mAddress;
     auto endpoint = sameLifetime ? known->second : std::make_shared<Endpoint>();
+    if (!sameLifetime || endpoint->mRecord.mColdFor != record.mColdFor) {
+      // NOTE: The statement is older than its arrival here, so the endpoint is
+      //       not cold for longer.
+      endpoint->mColdUntil = aNow + record.mColdFor;
+    }
     endpoint->mRecord = record;
     const EndpointAnnouncement recalled =
       Recall(mAnnouncements, LifetimeOf(record), aNow);
@@ -216,11 +221,12 @@
   bool allWantQuiet = true;
   for (std::uint32_t index = 0; index < all.size(); ++index) {
     const Endpoint& endpoint = *all[index];
-    const bool isAllowed = !endpoint.mRecord.mIsDraining &&
-                           !endpoint.mAnnouncement.mIsLeaving &&
-                           !HasEnded(endpoint, aNow) &&
-                           (!aQuery.mAcceptsVersion ||
-                            aQuery.mAcceptsVersion(endpoint.mRecord.mVersion));
+    const bool isAllowed =
+      !mEvacuatedDomains.contains(endpoint.mRecord.mFailureDomain) &&
+      !endpoint.mRecord.mIsDraining && !endpoint.mAnnouncement.mIsLeaving &&
+      !HasEnded(endpoint, aNow) &&
+      (!aQuery.mAcceptsVersion ||
+       aQuery.mAcceptsVersion(endpoint.mRecord.mVersion));
     if (!isAllowed) {
       continue;
     }
@@ -245,14 +251,12 @@
       ++full;
       continue;
     }
-    const std::optional<double> limit =
-      EffectiveLimit(endpoint.mAnnouncement.mLimit, aNow);
-    if (limit) {
-      const auto share = PermitShareOf(*all[index], *limit);
+    if (const auto bound = BoundOf(endpoint, aNow)) {
+      const auto share = PermitShareOf(*all[index], *bound);
       const TimePoint next =
         share ? NextPermitAt(endpoint.mPermits, *share) : TimePoint::max();
       if (next > aNow) {
-        limited = WithEndpoint(limited, *limit, share, next);
+        limited = WithEndpoint(limited, bound->mPerSecond, share, next);
         continue;
       }
     }
@@ -342,11 +346,10 @@
 {
   aEndpoint.mInFlight += 1;
   aEndpoint.mLastAttemptAt = aNow;
-  const std::optional<double> limit =
-    EffectiveLimit(aEndpoint.mAnnouncement.mLimit, aNow);
+  const auto bound = BoundOf(aEndpoint, aNow);
   aEndpoint.mPermits =
     WithUse(aEndpoint.mPermits,
-            limit ? PermitShareOf(aEndpoint, *limit) : std::nullopt,
+            bound ? PermitShareOf(aEndpoint, *bound) : std::nullopt,
             aNow);
   aEndpoint.mWaitingPromptTokens += aWork.mPromptTokens;
   aEndpoint.mWaitingAttempts += 1;
--- a/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
+++ b/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
@@ -36,15 +36,41 @@
   }
 }
 
-std::optional<PermitShare> EndpointRegistry::PermitShareOf(Endpoint& aEndpoint,
-                                                           double aLimit) const
+void EndpointRegistry::SetColdRates(std::map<std::string, double> aRates)
+{
+  mColdRates = std::move(aRates);
+}
+
+void EndpointRegistry::SetEvacuatedDomains(std::set<std::string> aDomains)
+{
+  mEvacuatedDomains = std::move(aDomains);
+}
+
+std::optional<RateBound> EndpointRegistry::BoundOf(const Endpoint& aEndpoint,
+                                                   TimePoint aNow) const
+{
+  std::optional<RateBound> bound;
+  if (const auto limit = EffectiveLimit(aEndpoint.mAnnouncement.mLimit, aNow)) {
+    bound = BoundOfLimit(*limit);
+  }
+  const auto coldRate = mColdRates.find(aEndpoint.mRecord.mPool);
+  if (aNow < aEndpoint.mColdUntil && coldRate != mColdRates.end()) {
+    const RateBound cold = BoundOfColdEndpoint(coldRate->second);
+    bound = bound ? Stricter(*bound, cold) : cold;
+  }
+  return bound;
+}
+
+std::optional<PermitShare> EndpointRegistry::PermitShareOf(
+  Endpoint& aEndpoint,
+  const RateBound& aBound) const
 {
   if (!aEndpoint.mPermitRank || aEndpoint.mPermitRankOfList != mLiveVmsList) {
     aEndpoint.mPermitRank =
       PermitRank(KeyOf(aEndpoint.mRecord.mId), mSelfKey, mLiveVmKeys);
     aEndpoint.mPermitRankOfList = mLiveVmsList;
   }
-  return ShareOf(aLimit,
+  return ShareOf(aBound,
                  aEndpoint.mPermitRank,
                  static_cast<std::uint32_t>(mLiveVmKeys.size()));
 }
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -133,8 +133,16 @@
           { { "version", std::to_string(aView.mSettings->mVersion) } });
     }
     mState->mSettings = std::move(aView.mSettings);
+    std::map<std::string, double> coldRates;
+    for (const Pool& pool : mState->mSettings->mPools) {
+      if (pool.mColdRequestsPerSecond > 0) {
+        coldRates[pool.mName] = pool.mColdRequestsPerSecond;
+      }
+    }
+    mState->mRegistry.SetColdRates(std::move(coldRates));
   }
   mState->mRegistry.SetLiveVms(mState->mOptions.mVmName, aView.mServingVms);
+  mState->mRegistry.SetEvacuatedDomains(aView.mEvacuatedDomains);
   mState->mRegistry.Replace(aView.mEndpoints, MonotonicNow());
   for (const auto& [pool, shift] : aView.mTrafficShifts) {
     const auto known = mState->mTrafficShifts.find(pool);
--- a/Libraries/LibRouting/EndpointLimit.cpp
+++ b/Libraries/LibRouting/EndpointLimit.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-/// Requests beyond the limit that endpoints bear in a window of some seconds:
-/// so many seconds of the limit, and some more. The permits that accrue at all
-/// holders stay within these.
-constexpr double kBurstSeconds = 4.0 / 3;
+/// Requests beyond the limit that endpoints bear in a window of some seconds,
+/// and in one second while they are cold.
+constexpr double kLimitBurstSeconds = 4.0 / 3;
+constexpr double kColdBurstSeconds = 1.0 / 3;
 constexpr double kBurstRequests = 3;
 /// Rate at which the holders try an endpoint whose limit is lower. Without any
 /// request, nobody would learn the end of the limit.
@@ -33,9 +33,10 @@
 constexpr double kRetryAfterSpread = 0.25;
 
 /// Permits that may accrue at all holders together.
-double AccruingPermits(double aLimit)
+double AccruingPermits(const RateBound& aBound)
 {
-  return std::floor(kBurstSeconds * aLimit + kBurstRequests);
+  return std::floor(aBound.mBurstSeconds * aBound.mPerSecond +
+                    aBound.mBurstRequests);
 }
 
 /// The time at which all used permits accrue again, under another share than
@@ -122,17 +123,36 @@
   return isLive ? std::optional(rank) : std::nullopt;
 }
 
-std::optional<PermitShare> ShareOf(double aLimit,
+RateBound BoundOfLimit(double aPerSecond)
+{
+  return { aPerSecond, kLimitBurstSeconds, kBurstRequests };
+}
+
+RateBound BoundOfColdEndpoint(double aPerSecond)
+{
+  return { std::max(aPerSecond, kTrialsPerSecond),
+           kColdBurstSeconds,
+           kBurstRequests };
+}
+
+RateBound Stricter(const RateBound& aOne, const RateBound& aOther)
+{
+  return { std::min(aOne.mPerSecond, aOther.mPerSecond),
+           std::min(aOne.mBurstSeconds, aOther.mBurstSeconds),
+           std::min(aOne.mBurstRequests, aOther.mBurstRequests) };
+}
+
+std::optional<PermitShare> ShareOf(const RateBound& aBound,
                                    std::optional<std::uint32_t> aRank,
                                    std::uint32_t aLiveVms)
 {
-  const double accruing = AccruingPermits(aLimit);
+  const double accruing = AccruingPermits(aBound);
   const double holders =
     std::clamp(accruing, 1.0, std::max(1.0, static_cast<double>(aLiveVms)));
   if (!aRank || *aRank >= holders) {
     return std::nullopt;
   }
-  return PermitShare{ FromSeconds(holders / aLimit),
+  return PermitShare{ FromSeconds(holders / aBound.mPerSecond),
                       static_cast<std::uint32_t>(accruing / holders) };
 }
 
--- a/Tests/LibRouting/TestEndpointLimit.cpp
+++ b/Tests/LibRouting/TestEndpointLimit.cpp
@@ -97,10 +97,11 @@
   return keys;
 }
 
-/// The most requests in four seconds if all VMs send whenever they may.
+/// The most requests in a window if all VMs send whenever they may.
 /// aListAt returns the VMs that are live at a time.
 int MostInWindow(
-  double aLimit,
+  const RateBound& aBound,
+  double aWindowSeconds,
   const std::vector<std::uint64_t>& aVms,
   const std::function<std::vector<std::uint64_t>(double)>& aListAt)
 {
@@ -109,7 +110,7 @@
   for (double at = 0; at < 20; at += 0.05) {
     const std::vector<std::uint64_t> live = aListAt(at);
     for (std::size_t vm = 0; vm < aVms.size(); ++vm) {
-      const auto share = ShareOf(aLimit,
+      const auto share = ShareOf(aBound,
                                  PermitRank(42, aVms[vm], live),
                                  static_cast<std::uint32_t>(live.size()));
       while (share && NextPermitAt(states[vm], *share) <= At(at)) {
@@ -120,10 +121,9 @@
   }
   int most = 0;
   for (const double first : sent) {
-    const auto count =
-      std::count_if(sent.begin(), sent.end(), [first](double aAt) {
-        return aAt >= first && aAt < first + 4;
-      });
+    const auto count = std::count_if(sent.begin(), sent.end(), [&](double aAt) {
+      return aAt >= first && aAt < first + aWindowSeconds;
+    });
     most = std::max(most, static_cast<int>(count));
   }
   return most;
@@ -141,8 +141,8 @@
   for (const std::uint64_t vms : { 1, 8, 84, 295 }) {
     const auto keys = VmKeys(vms);
     for (const double limit : mLimits) {
-      const int most =
-        MostInWindow(limit, keys, [&keys](double) { return keys; });
+      const int most = MostInWindow(
+        BoundOfLimit(limit), 4, keys, [&keys](double) { return keys; });
       CHECK(most <= Allowed(limit));
       CHECK(most >= 4 * limit - 1);
     }
@@ -160,11 +160,41 @@
       return std::vector<std::uint64_t>(first, first + 2 * half);
     };
     for (const double limit : mLimits) {
-      CHECK(MostInWindow(limit, keys, listAt) <= Allowed(limit));
+      CHECK(MostInWindow(BoundOfLimit(limit), 4, keys, listAt) <=
+            Allowed(limit));
     }
   }
 }
 
+/// Cold endpoints bear one and a half times their rate, and five more, in any
+/// second.
+TEST(EndpointLimitShares, ColdEndpointsGetWhatTheyBear)
+{
+  for (const std::uint64_t vms : { 1, 8, 84, 295 }) {
+    const auto keys = VmKeys(2 * vms);
+    const auto half = static_cast<std::ptrdiff_t>(vms / 2);
+    const auto listAt = [&](double aAt) {
+      const auto first = keys.begin() + (aAt < 10 ? 0 : half);
+      return std::vector<std::uint64_t>(
+        first, first + std::max<std::ptrdiff_t>(1, 2 * half));
+    };
+    for (const double rate : { 1.0, 5.0, 8.7, 20.0 }) {
+      CHECK(MostInWindow(BoundOfColdEndpoint(rate), 1, keys, listAt) <=
+            1.5 * rate + 5);
+    }
+  }
+}
+
+TEST(EndpointLimitShares, ALimitOfAColdEndpointKeepsToBothBounds)
+{
+  const RateBound bound = Stricter(BoundOfLimit(1.2), BoundOfColdEndpoint(8.7));
+  DOUBLES_EQUAL(1.2, bound.mPerSecond, 0);
+  const auto keys = VmKeys(84);
+  const auto listAt = [&keys](double) { return keys; };
+  CHECK(MostInWindow(bound, 4, keys, listAt) <= Allowed(1.2));
+  CHECK(MostInWindow(bound, 1, keys, listAt) <= 1.5 * 8.7 + 5);
+}
+
 /// A change of one VM changes the share of few others.
 TEST(EndpointLimitShares, OneVmThatLeavesIsReplacedByOne)
 {
@@ -172,8 +202,10 @@
   const std::vector<std::uint64_t> after(before.begin() + 1, before.end());
   int changed = 0;
   for (const std::uint64_t vm : after) {
-    const bool held = ShareOf(6, PermitRank(42, vm, before), 84).has_value();
-    const bool holds = ShareOf(6, PermitRank(42, vm, after), 83).has_value();
+    const bool held =
+      ShareOf(BoundOfLimit(6), PermitRank(42, vm, before), 84).has_value();
+    const bool holds =
+      ShareOf(BoundOfLimit(6), PermitRank(42, vm, after), 83).has_value();
     changed += held != holds ? 1 : 0;
   }
   CHECK(changed <= 1);
@@ -182,9 +214,9 @@
 TEST(EndpointLimitShares, AVmThatIsNotListedHoldsNoPermits)
 {
   CHECK(!PermitRank(42, 1, VmKeys(3)));
-  CHECK(!ShareOf(20, std::nullopt, 3));
+  CHECK(!ShareOf(BoundOfLimit(20), std::nullopt, 3));
   LONGS_EQUAL(0, *PermitRank(42, 1, {}));
-  CHECK(ShareOf(1, 0, 0).has_value());
+  CHECK(ShareOf(BoundOfLimit(1), 0, 0).has_value());
 }
 
 TEST(EndpointLimitShares, ALimitOfZeroIsTriedNowAndThen)
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -219,6 +219,16 @@
                .dump());
 }
 
+void PlatformFixture::EditEntry(const Replica& aReplica,
+                                const std::string& aText,
+                                const std::string& aReplacement)
+{
+  const std::string key = "servers/" + aReplica.Id();
+  std::string entry = *mStore.Value(key);
+  entry.replace(entry.find(aText), aText.size(), aReplacement);
+  mStore.Put(key, entry);
+}
+
 void PlatformFixture::PutSettings(std::int64_t aVersion,
                                   const std::vector<std::string>& aApiKeys,
                                   int aAdditionalRoutes)
@@ -264,7 +274,10 @@
     Json{ { "version", aVersion },
           { "routes", routes },
           { "services",
-            { { { "name", "desk" }, { "max-conns", 100 } },
+            { { { "name", "desk" },
+                { "max-conns", 100 },
+                { "cold-start-s", 3 },
+                { "cold-per-s", 2 } },
               { { "name", "engines" },
                 { "max-conns", 100 },
                 { "engine", engine } } } },
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -178,6 +178,11 @@
                         const std::string& aPool,
                         const std::string& aState);
 
+  /// Replaces a text in the endpoint's store entry.
+  void EditEntry(const Replica& aReplica,
+                 const std::string& aText,
+                 const std::string& aReplacement);
+
   /// Stores the settings that most tests use, with the given API keys and
   /// additional routes.
   void PutSettings(std::int64_t aVersion,
--- a/Tests/Platform/TestLimitedEndpoint.cpp
+++ b/Tests/Platform/TestLimitedEndpoint.cpp
@@ -232,9 +232,7 @@
   mFixture.StartNode();
   UsePermits();
   mLimited->SetLimit("");
-  std::string entry = *mFixture.mStore.Value("servers/i-1");
-  entry.insert(entry.rfind('}'), ",\"born\":1790000000000");
-  mFixture.mStore.Put("servers/i-1", entry);
+  mFixture.EditEntry(*mLimited, "}", ",\"born\":1790000000000}");
   mFixture.RunUntilStoreRead();
   mFixture.RunFor(std::chrono::milliseconds(50));
   LONGS_EQUAL(200, Request().mHead.result_int());
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   /// Start of the endpoint's process as a number, which differs after a restart
   /// under the same id; 0 if the endpoint does not state it.
   std::int64_t mIncarnation = 0;
+  /// How long it bears only few requests, as its caches are empty.
+  Duration mColdFor{};
 
   auto operator<=>(const EndpointRecord&) const = default;
 };
@@ -91,7 +94,8 @@
   std::int32_t mInFlightAtReport = 0;
   std::int32_t mWaitingAttemptsAtReport = 0;
   TimePoint mLoadReportedAt{};
-  PermitState mPermits; ///< Use of this VM's permits, if there is a limit.
+  TimePoint mColdUntil{}; ///< Latest time until which it is cold.
+  PermitState mPermits;   ///< Use of this VM's permits, if there is a limit.
   /// This VM's rank for permits, and the list of VMs that it was derived from.
   std::optional<std::uint32_t> mPermitRank;
   std::uint64_t mPermitRankOfList = 0;
@@ -170,6 +174,13 @@
   void SetLiveVms(const std::string& aSelf,
                   const std::vector<std::string>& aNames);
 
+  /// Sets the requests a second that cold endpoints bear, by pool; none for a
+  /// pool whose endpoints bear as many as ever.
+  void SetColdRates(std::map<std::string, double> aRates);
+
+  /// Sets the failure domains whose endpoints get no more requests.
+  void SetEvacuatedDomains(std::set<std::string> aDomains);
+
   /// Records that the endpoint has stated in a response that it is about to
   /// stop. It is not selected again. Returns whether this is news.
   bool RecordLeaving(Endpoint& aEndpoint, TimePoint aNow);
@@ -258,13 +269,18 @@
                                   const AttemptWork& aWork) const;
   /// This VM's share in the limit of the endpoint; empty if it holds none.
   std::optional<PermitShare> PermitShareOf(Endpoint& aEndpoint,
-                                           double aLimit) const;
+                                           const RateBound& aBound) const;
+  /// The bound on the requests to the endpoint at aNow; empty: none.
+  std::optional<RateBound> BoundOf(const Endpoint& aEndpoint,
+                                   TimePoint aNow) const;
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
   /// Endpoints by id.
   std::map<std::string, std::shared_ptr<Endpoint>> mEndpoints;
   AnnouncementMemory mAnnouncements;
+  std::map<std::string, double> mColdRates; ///< Requests a second, by pool.
+  std::set<std::string> mEvacuatedDomains;
   std::uint64_t mSelfKey = 0;             ///< Hash of this VM's name.
   std::vector<std::uint64_t> mLiveVmKeys; ///< Hashes of the VMs' names.
   std::uint64_t mLiveVmsList = 0;         ///< Number of the list of VMs.
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   /// Null before the first read.
   std::shared_ptr<const RelaySettings> mSettings;
   std::vector<EndpointRecord> mEndpoints;
+  /// Failure domains whose endpoints get no more requests.
+  std::set<std::string> mEvacuatedDomains;
   /// Ordered roll-outs by pool.
   std::map<std::string, TrafficShift> mTrafficShifts;
   /// Names of the VMs that serve callers; empty: only this one is known.
--- a/include/Acaciavale/LibRelay/RelaySettings.h
+++ b/include/Acaciavale/LibRelay/RelaySettings.h
@@ -66,6 +66,9 @@
   std::string mName;
   /// Limit on the connections of all VMs to one endpoint; 0 for none.
   std::int64_t mMaxConnections = 0;
+  /// Requests a second that an endpoint bears while it is cold; 0: as many as
+  /// ever.
+  double mColdRequestsPerSecond = 0;
   bool mHasEngines = false;
   /// Capacity of one engine's key-value cache, in tokens.
   std::int64_t mEngineCacheTokens = 0;
--- a/include/Acaciavale/LibRouting/EndpointLimit.h
+++ b/include/Acaciavale/LibRouting/EndpointLimit.h
@@ -81,8 +81,29 @@
   auto operator<=>(const PermitShare&) const = default;
 };
 
+/// A bound on the requests that an endpoint gets from all VMs together.
+struct RateBound
+{
+  double mPerSecond = 0;
+  /// Requests beyond that at once: so many seconds of it, and some more.
+  double mBurstSeconds = 0;
+  double mBurstRequests = 0;
+
+  auto operator<=>(const RateBound&) const = default;
+};
+
+/// The bound of a limit that an endpoint states.
+RateBound BoundOfLimit(double aPerSecond);
+
+/// The bound of an endpoint that has just started and is cold. It bears much
+/// less in one second than one with a limit does in some.
+RateBound BoundOfColdEndpoint(double aPerSecond);
+
+/// The bound within both.
+RateBound Stricter(const RateBound& aOne, const RateBound& aOther);
+
 /// Returns the share of the VM with the rank; empty if it holds none.
-std::optional<PermitShare> ShareOf(double aLimit,
+std::optional<PermitShare> ShareOf(const RateBound& aBound,
                                    std::optional<std::uint32_t> aRank,
                                    std::uint32_t aLiveVms);
 
