--- a/Tests/LibRouting/TestEndpointLimit.cpp
+++ b/Tests/LibRouting/TestEndpointLimit.cpp
@@ -140,9 +140,9 @@
 {
   for (const std::uint64_t vms : { 1, 8, 84, 295 }) {
     const auto keys = VmKeys(vms);
+    const auto listAt = [&](double) { return std::vector(keys); };
     for (const double limit : mLimits) {
-      const int most = MostInWindow(
-        BoundOfLimit(limit), 4, keys, [&keys](double) { return keys; });
+      const int most = MostInWindow(BoundOfLimit(limit), 4, keys, listAt);
       CHECK(most <= Allowed(limit));
       CHECK(most >= 4 * limit - 1);
     }
@@ -190,7 +190,7 @@
   const RateBound bound = Stricter(BoundOfLimit(1.2), BoundOfColdEndpoint(8.7));
   DOUBLES_EQUAL(1.2, bound.mPerSecond, 0);
   const auto keys = VmKeys(84);
-  const auto listAt = [&keys](double) { return keys; };
+  const auto listAt = [&](double) { return std::vector(keys); };
   CHECK(MostInWindow(bound, 4, keys, listAt) <= Allowed(1.2));
   CHECK(MostInWindow(bound, 1, keys, listAt) <= 1.5 * 8.7 + 5);
 }
--- a/Tests/Platform/TestLimitedEndpoint.cpp
+++ b/Tests/Platform/TestLimitedEndpoint.cpp
@@ -91,8 +91,8 @@
     for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
       if (first->mAt >= aSince) {
         most = std::max(
-          most, std::count_if(first, arrivals.end(), [&](const auto& a) {
-            return a.mAt < first->mAt + kWindow;
+          most, std::count_if(first, arrivals.end(), [&](const auto& aArrival) {
+            return aArrival.mAt < first->mAt + kWindow;
           }));
       }
     }
