Push only large changes of a limit to the readers

An endpoint that states a slightly other limit with each response would have made every VM that hears it push to all readers five times a second. Changes below a quarter go with the polls.

The rate of cold endpoints is looked up only for those that are cold.

--- a/Libraries/LibRelay/EndpointAnnouncements.cpp
+++ b/Libraries/LibRelay/EndpointAnnouncements.cpp
@@ -13,6 +13,9 @@
 /// Number of announcements above which that of the endpoint that was listed
 /// least recently is forgotten.
 constexpr std::size_t kMaximumEntries = 1024;
+/// Ratio of two limits from which the change is news. Smaller changes, which an
+/// endpoint may state with each response, reach the other VMs with their polls.
+constexpr double kNewsRatio = 1.25;
 
 } // namespace
 
@@ -77,7 +80,10 @@
   const RequestLimit& before = aBefore.mLimit;
   return aAnnouncement.mIsLeaving != aBefore.mIsLeaving ||
          IsInForce(limit) != IsInForce(before) ||
-         (IsInForce(limit) && limit.mPerSecond != before.mPerSecond);
+         (IsInForce(limit) &&
+          (limit.mPerSecond >= before.mPerSecond * kNewsRatio ||
+           limit.mPerSecond * kNewsRatio <= before.mPerSecond) &&
+          limit.mPerSecond != before.mPerSecond);
 }
 
 void ForgetUnlisted(AnnouncementMemory& aMemory, TimePoint aNow)
--- a/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
+++ b/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
@@ -53,8 +53,11 @@
   if (const auto limit = EffectiveLimit(aEndpoint.mAnnouncement.mLimit, aNow)) {
     bound = BoundOfLimit(*limit);
   }
+  if (aNow >= aEndpoint.mColdUntil) {
+    return bound;
+  }
   const auto coldRate = mColdRates.find(aEndpoint.mRecord.mPool);
-  if (aNow < aEndpoint.mColdUntil && coldRate != mColdRates.end()) {
+  if (coldRate != mColdRates.end()) {
     const RateBound cold = BoundOfColdEndpoint(coldRate->second);
     bound = bound ? Stricter(*bound, cold) : cold;
   }
--- a/include/Acaciavale/LibRelay/EndpointAnnouncements.h
+++ b/include/Acaciavale/LibRelay/EndpointAnnouncements.h
@@ -78,7 +78,7 @@
                                 const AnnouncementReport& aReport);
 
 /// Whether the announcement states something that the other one does not, apart
-/// from the time of a statement.
+/// from the time of a statement and small changes of a limit.
 bool IsNews(const EndpointAnnouncement& aAnnouncement,
             const EndpointAnnouncement& aBefore);
 
