Keep the files of a soak with violations, and say when its bills were complete

ShortSoak failed once with eight violations of 'billed exactly once', and nothing was left to trace: its folder is removed at the end, and the wait for complete bills ends silently after 60 s. Now the folder stays, and the wait says how long it took and what was missing.

--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -16,13 +16,15 @@
 RANDOM="$SEED"
 declare -A PID=() COUNT=()
 VIOLATIONS=0
+# The files of a run with violations are kept: it may not fail again.
+HAS_VIOLATIONS=no
 export no_proxy='*'
 
 stop_all() {
   local pid
   for pid in "${PID[@]}"; do kill -CONT "$pid" 2> /dev/null || true; kill -KILL "$pid" 2> /dev/null || true; done
   wait 2> /dev/null || true
-  if [ -n "${ACACIAVALE_SOAK_KEEP:-}" ]; then echo "files are in $WORK"; else rm -rf "$WORK"; fi
+  if [ -n "${ACACIAVALE_SOAK_KEEP:-}" ] || [ "$HAS_VIOLATIONS" = yes ]; then echo "files are in $WORK"; else rm -rf "$WORK"; fi
 }
 trap stop_all EXIT
 
@@ -223,4 +225,4 @@
 "$HISTORY" check "${CHECK_OPTIONS[@]}" || RESULT=1
 for kind in "${!COUNT[@]}"; do echo "faults, $kind: ${COUNT[$kind]}"; done | sort
 echo "violations, planned stops and racing operators: $VIOLATIONS"
-[ "$RESULT" -eq 0 ] && [ "$VIOLATIONS" -eq 0 ]
+if [ "$RESULT" -ne 0 ] || [ "$VIOLATIONS" -ne 0 ]; then HAS_VIOLATIONS=yes; exit 1; fi
--- a/Tests/History/Main.cpp
+++ b/Tests/History/Main.cpp
@@ -103,10 +103,18 @@
 void WaitForBills(const std::string& aStandIns,
                   Acaciavale::History::History& aHistory)
 {
-  const TimePoint end = MonotonicNow() + kBillsTimeout;
-  while (!CheckBills(aHistory).empty() && MonotonicNow() < end) {
+  const TimePoint start = MonotonicNow();
+  Violations violations = CheckBills(aHistory);
+  while (!violations.empty() && MonotonicNow() - start < kBillsTimeout) {
     std::this_thread::sleep_for(kBillsPollInterval);
     aHistory.mBills = FetchBills(aStandIns);
+    violations = CheckBills(aHistory);
+  }
+  std::printf("bills %s after %.1f s\n",
+              violations.empty() ? "complete" : "not complete",
+              InSeconds(MonotonicNow() - start));
+  for (const Violation& violation : violations) {
+    std::printf("  %s\n", violation.mDescription.c_str());
   }
 }
 
