--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -27,6 +27,7 @@
 /// also when the share is small.
 constexpr double kSlotShareFactor = 2;
 constexpr std::int32_t kMinimumSlots = 4;
+
 /// A number in [0, 1) derived from the text, equal on all VMs.
 double DrawFromText(const std::string& aText)
 {
