--- a/Tests/Platform/TestLimitedEndpoint.cpp
+++ b/Tests/Platform/TestLimitedEndpoint.cpp
@@ -29,6 +29,7 @@
   Replica* mLimited = nullptr;
   std::vector<std::unique_ptr<Platform::Node>> mNodes;
   std::vector<std::shared_ptr<Response>> mResponses;
+  std::size_t mEnded = 0; ///< Requests of SendFor that have ended.
 
   void setup() override
   {
@@ -69,7 +70,7 @@
             { "Key", "key-1" } } },
         aAddresses[mRandom.Below(aAddresses.size())],
         mResponses.back(),
-        [] {});
+        [this] { ++mEnded; });
       mFixture.RunFor(std::chrono::milliseconds(10));
     }
   }
@@ -171,12 +172,12 @@
   mLimited->SetScript(RefuseWith(503, true));
   mLimited->SetLimit("1.2");
   mFixture.StartNode();
-  SendFor(std::chrono::seconds(5), { mFixture.mNode->CallerAddress() });
-  CHECK(MostInWindow(*mLimited, {}) <= Allowed(1.2));
-  mFixture.RunFor(std::chrono::milliseconds(100));
-  for (const auto& response : mResponses) {
-    LONGS_EQUAL(200, response->mHead.result_int());
+  const TimePoint end = MonotonicNow() + std::chrono::seconds(5);
+  while (MonotonicNow() < end) {
+    LONGS_EQUAL(200, Request().mHead.result_int());
   }
+  CHECK(!mLimited->mArrivals.empty());
+  CHECK(MostInWindow(*mLimited, {}) <= Allowed(1.2));
 }
 
 TEST(LimitedEndpoint, RequestsAreRefusedAtOnceIfAllHaveLimits)
@@ -218,6 +219,7 @@
   UsePermits();
   mLimited->SetLimit("");
   SendFor(std::chrono::seconds(5), { mFixture.mNode->CallerAddress() });
+  mFixture.RunUntil([this] { return mEnded == mResponses.size(); });
   mLimited->mArrivals.clear();
   for (int request = 0; request < 20; ++request) {
     LONGS_EQUAL(200, Request().mHead.result_int());
