--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -23,6 +23,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -620,7 +621,8 @@
              int aSlots,
              Handler aHandler,
              bool aReadsBody = true,
-             int aReceiveBuffer = 0)
+             int aReceiveBuffer = 0,
+             const std::string& aVersion = "v1")
   {
     mId = aId;
     mServer.Start(
@@ -645,7 +647,7 @@
         }
       },
       aReceiveBuffer);
-    std::thread([this, &aStore, aService, aZone, aSlots] {
+    std::thread([this, &aStore, aService, aZone, aSlots, aVersion] {
       const std::int64_t born = std::chrono::duration_cast<std::chrono::milliseconds>(
                                   std::chrono::system_clock::now().time_since_epoch())
                                   .count();
@@ -654,7 +656,7 @@
                    Json{ { "service", aService },
                          { "address", mServer.Address() },
                          { "zone", aZone },
-                         { "version", "v1" },
+                         { "version", aVersion },
                          { "slots", aSlots },
                          { "state", "ready" },
                          { "cold-left-ms", 0 },
@@ -718,6 +720,21 @@
     return aText;
   }
 
+  static std::string FreePort(const std::string& aIp)
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, aIp.c_str(), &address.sin_addr);
+    socklen_t length = sizeof(address);
+    const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+      CannotRun("no free port");
+    }
+    getsockname(handle, reinterpret_cast<sockaddr*>(&address), &length);
+    close(handle);
+    return std::to_string(ntohs(address.sin_port));
+  }
+
   /// Fills in the template of the deploy file and starts the role's program.
   Node& StartNode(const std::string& aName,
                   int aNumber,
@@ -729,9 +746,9 @@
     Node& node = *mNodes.back();
     node.mName = aName;
     node.mIp = Host(aNumber);
-    node.mFront = node.mIp + ":8227";
-    node.mReady = node.mIp + ":8220";
-    node.mDirectory = node.mIp + ":8224";
+    node.mFront = node.mIp + ':' + FreePort(node.mIp);
+    node.mReady = node.mIp + ':' + FreePort(node.mIp);
+    node.mDirectory = node.mIp + ':' + FreePort(node.mIp);
     node.mLog = mFolder + '/' + aName + ".log";
     std::map<std::string, std::string> values{
       { "node-name", aName },
@@ -743,7 +760,7 @@
       { "listen.front", node.mFront },
       { "listen.ready", node.mReady },
       { "listen.directory", node.mDirectory },
-      { "inner-port-range.0", "7340" },
+      { "inner-port-range.0", FreePort(node.mIp) },
       { "platform.address", aStore },
       { "platform.ttl-min-ms", "1000" },
       { "bounds.grace-s", "8" },
@@ -778,6 +795,7 @@
   {
     aNode.mPid = fork();
     if (aNode.mPid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = open(aNode.mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
