--- a/review/2/main.cpp
+++ b/review/2/main.cc
@@ -1,6 +1,6 @@
 // A node gets SIGTERM while it answers long streams on kept channels. Their
 // clients send the next request on the same channel when a stream has ended.
-#include "../standins/streams.h"
+#include "../standins/streams.hh"
 
 using namespace review;
 
@@ -24,7 +24,8 @@
   Outcome outcome;
   outcome.mId = aId;
   outcome.mSentAt = Now();
-  if (!aChannel.Send(RequestText("POST", "/chat/" + std::to_string(aEvents), aId, 20000, "{}"))) {
+  if (!aChannel.Send(RequestText(
+        "POST", "/chat/" + std::to_string(aEvents), aId, 20000, "{}"))) {
     outcome.mEnd = "not sent";
     return outcome;
   }
@@ -33,12 +34,14 @@
   if (!aChannel.ReadHead(answer, 20)) {
     outcome.mEnd = "no answer: " + aChannel.Error();
   } else if (!aChannel.ReadBody(answer, 20)) {
-    outcome.mEnd = "status " + std::to_string(answer.Status()) + ", then cut after " +
-                   std::to_string(answer.mBody.size()) + " bytes: " + aChannel.Error();
+    outcome.mEnd = "status " + std::to_string(answer.Status()) +
+                   ", then cut after " + std::to_string(answer.mBody.size()) +
+                   " bytes: " + aChannel.Error();
   } else {
     outcome.mIsComplete = true;
-    outcome.mEnd = "status " + std::to_string(answer.Status()) + ", complete" +
-                   (answer.Header("Connection") == "close" ? ", Connection: close" : "");
+    outcome.mEnd =
+      "status " + std::to_string(answer.Status()) + ", complete" +
+      (answer.Header("Connection") == "close" ? ", Connection: close" : "");
   }
   Say("client gets for " + aId + ": " + outcome.mEnd);
   return outcome;
@@ -52,24 +55,29 @@
   Begin(aCount, aArguments, platform);
   Store store;
   store.Start(platform.Host(1));
-  store.Put("op/config",
-            Config({ Route("chat", "/chat/", "streaming", "model", 20000, 4000, 3) }, { "model" })
-              .dump());
+  store.Put(
+    "op/config",
+    Config({ Route("chat", "/chat/", "streaming", "model", 20000, 4000, 3) },
+           { "model" })
+      .dump());
   Runs runs;
   Replica replicas[2];
   for (int number = 0; number < 2; ++number) {
-    replicas[number].Start(store,
-                           "i-" + std::to_string(number),
-                           "model",
-                           platform.Host(100 + number),
-                           "zone-" + std::to_string(number),
-                           64,
-                           [&](Replica& aReplica, Channel& aChannel, Message& aRequest) {
-                             return ServeStream(aReplica, aChannel, aRequest, runs);
-                           });
+    replicas[number].Start(
+      store,
+      "i-" + std::to_string(number),
+      "model",
+      platform.Host(100 + number),
+      "zone-" + std::to_string(number),
+      64,
+      [&](Replica& aReplica, Channel& aChannel, Message& aRequest) {
+        return ServeStream(aReplica, aChannel, aRequest, runs);
+      });
   }
-  Platform::Node& node = platform.StartNode("edge-1", 11, "zone-0", store.Address());
-  Platform::Node& other = platform.StartNode("edge-2", 12, "zone-1", store.Address());
+  Platform::Node& node =
+    platform.StartNode("edge-1", 11, "zone-0", store.Address());
+  Platform::Node& other =
+    platform.StartNode("edge-2", 12, "zone-1", store.Address());
   Platform::AwaitReady(node);
   Platform::AwaitReady(other);
   Sleep(3);
@@ -127,12 +135,14 @@
     if (!outcome.mId.empty() && !outcome.mIsComplete && isCounted &&
         runs.Started(outcome.mId) > 0) {
       ++lost;
-      Say("lost: " + outcome.mId + " was sent " + std::to_string(outcome.mSentAt - stoppedAt) +
+      Say("lost: " + outcome.mId + " was sent " +
+          std::to_string(outcome.mSentAt - stoppedAt) +
           " s after the SIGTERM and passed on; " + outcome.mEnd);
     }
   }
-  const std::string text = std::to_string(served) + " answers complete, " + std::to_string(lost) +
-                           " requests lost that were sent more than 3 s after the SIGTERM";
+  const std::string text =
+    std::to_string(served) + " answers complete, " + std::to_string(lost) +
+    " requests lost that were sent more than 3 s after the SIGTERM";
   if (lost > 0) {
     End(1, "LOST broken: " + text);
   }
--- a/review/5/main.cpp
+++ b/review/5/main.cc
@@ -1,6 +1,6 @@
 // Sound replicas pause in the middle of their streams, as they do when they
 // preempt requests, and are full for new requests meanwhile.
-#include "../standins/streams.h"
+#include "../standins/streams.hh"
 
 using namespace review;
 
@@ -17,30 +17,40 @@
 
 bool IsPaused()
 {
-  return HasTrouble() && Now() >= gPauseFrom && Now() < gPauseFrom + kPauseSeconds;
+  return HasTrouble() && Now() >= gPauseFrom &&
+         Now() < gPauseFrom + kPauseSeconds;
 }
 
 struct Runs4 : Runs
 {
-  std::map<std::string, bool> mWasCut; ///< The node closed the channel of a run.
+  std::map<std::string, bool>
+    mWasCut; ///< The node closed the channel of a run.
 };
 
-bool Serve(Replica& aReplica, Channel& aChannel, const Message& aRequest, Runs4& aRuns)
+bool Serve(Replica& aReplica,
+           Channel& aChannel,
+           const Message& aRequest,
+           Runs4& aRuns)
 {
   const std::string id = aRequest.Header("Attempt-Id");
   if (IsPaused()) {
     Say("replica " + aReplica.Id() + " is full and does not run " + id);
-    return aChannel.Send(Answer(
-      503, "Attempt-Id: " + id + "\r\nNot-Executed: 1\r\nReplica-Load: 64,134,64\r\n", ""));
+    return aChannel.Send(
+      Answer(503,
+             "Attempt-Id: " + id +
+               "\r\nNot-Executed: 1\r\nReplica-Load: 64,134,64\r\n",
+             ""));
   }
   const std::string target = aRequest.Target();
   const int events = std::atoi(target.c_str() + target.rfind('/') + 1);
   const std::string resumed = aRequest.Header("Last-Event-Id");
   int number = resumed.empty() ? 0 : std::atoi(resumed.c_str());
-  Say("replica " + aReplica.Id() + " runs " + id + " from event " + std::to_string(number + 1));
+  Say("replica " + aReplica.Id() + " runs " + id + " from event " +
+      std::to_string(number + 1));
   aRuns.Start(id);
   if (!aChannel.Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-                     aReplica.Headers(aRequest) + "Transfer-Encoding: chunked\r\n\r\n")) {
+                     aReplica.Headers(aRequest) +
+                     "Transfer-Encoding: chunked\r\n\r\n")) {
     return false;
   }
   // The newest of the least urgent requests are preempted, not all.
@@ -51,13 +61,13 @@
       Sleep(0.01);
     }
     ++number;
-    const std::string event =
-      "id: " + std::to_string(number) + "\ndata: " + std::string(60, 'x') + "\n\n";
+    const std::string event = "id: " + std::to_string(number) +
+                              "\ndata: " + std::string(60, 'x') + "\n\n";
     char size[16];
     std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
     if (aChannel.IsClosedByPeer() || !aChannel.Send(size + event + "\r\n")) {
-      Say("replica " + aReplica.Id() + ": the node closed the channel of " + id + " after event " +
-          std::to_string(number - 1));
+      Say("replica " + aReplica.Id() + ": the node closed the channel of " +
+          id + " after event " + std::to_string(number - 1));
       const std::lock_guard lock(aRuns.mMutex);
       aRuns.mWasCut[id] = true;
       return false;
@@ -75,24 +85,29 @@
   Begin(aCount, aArguments, platform);
   Store store;
   store.Start(platform.Host(1));
-  store.Put("op/config",
-            Config({ Route("chat", "/chat/", "streaming", "model", 20000, 4000, 3) }, { "model" })
-              .dump());
+  store.Put(
+    "op/config",
+    Config({ Route("chat", "/chat/", "streaming", "model", 20000, 4000, 3) },
+           { "model" })
+      .dump());
   Runs4 runs;
   Replica replicas[3];
   for (int number = 0; number < 3; ++number) {
-    replicas[number].Start(store,
-                           "i-" + std::to_string(number),
-                           "model",
-                           platform.Host(100 + number),
-                           "zone-" + std::to_string(number % 2),
-                           64,
-                           [&](Replica& aReplica, Channel& aChannel, Message& aRequest) {
-                             return Serve(aReplica, aChannel, aRequest, runs);
-                           });
+    replicas[number].Start(
+      store,
+      "i-" + std::to_string(number),
+      "model",
+      platform.Host(100 + number),
+      "zone-" + std::to_string(number % 2),
+      64,
+      [&](Replica& aReplica, Channel& aChannel, Message& aRequest) {
+        return Serve(aReplica, aChannel, aRequest, runs);
+      });
   }
-  Platform::Node& node = platform.StartNode("edge-1", 11, "zone-0", store.Address());
-  Platform::Node& other = platform.StartNode("edge-2", 12, "zone-1", store.Address());
+  Platform::Node& node =
+    platform.StartNode("edge-1", 11, "zone-0", store.Address());
+  Platform::Node& other =
+    platform.StartNode("edge-2", 12, "zone-1", store.Address());
   Platform::AwaitReady(node);
   Platform::AwaitReady(other);
   Sleep(4);
@@ -115,8 +130,10 @@
       Channel channel;
       Message answer;
       if (!channel.Connect(node.mFront) ||
-          !channel.Send(RequestText("POST", "/chat/1", name + "-short", 20000, "{}")) ||
-          !channel.ReadHead(answer, 5) || !channel.ReadBody(answer, 5) || answer.Status() != 200) {
+          !channel.Send(
+            RequestText("POST", "/chat/1", name + "-short", 20000, "{}")) ||
+          !channel.ReadHead(answer, 5) || !channel.ReadBody(answer, 5) ||
+          answer.Status() != 200) {
         Say("client " + name + ": the short request failed");
         return;
       }
@@ -124,13 +141,14 @@
       const double sentAt = Now();
       Say("client sends " + id + " on the kept channel");
       const bool hasHead =
-        channel.Send(
-          RequestText("POST", "/chat/" + std::to_string(kEvents), id, 20000, "{}")) &&
+        channel.Send(RequestText(
+          "POST", "/chat/" + std::to_string(kEvents), id, 20000, "{}")) &&
         channel.ReadHead(answer, 20);
       const bool isWhole = hasHead && channel.ReadBody(answer, 20);
       Say("client gets for " + id + ": " +
-          (hasHead ? "status " + std::to_string(answer.Status()) : std::string("no head")) + ", " +
-          std::to_string(answer.mBody.size()) + " bytes, " +
+          (hasHead ? "status " + std::to_string(answer.Status())
+                   : std::string("no head")) +
+          ", " + std::to_string(answer.mBody.size()) + " bytes, " +
           (isWhole ? "complete" : "cut: " + channel.Error()));
       if (isWhole && answer.Status() == 200) {
         ++complete;
@@ -153,8 +171,9 @@
       lost += runs.mWasCut.count(id) > 0 ? 1 : 0;
     }
   }
-  const std::string text = std::to_string(complete) + " of " + std::to_string(kClients) +
-                           " streams complete, " + std::to_string(lost) +
+  const std::string text = std::to_string(complete) + " of " +
+                           std::to_string(kClients) + " streams complete, " +
+                           std::to_string(lost) +
                            " cut after the node had left a sound replica";
   if (lost > 0) {
     End(1, "LOST broken: " + text);
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[0-9]*/main.cpp; do
+for source in review/[0-9]*/main.cc; do
   case="$(basename "$(dirname "$source")")"
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/case-$case" "$source"
 done
--- a/review/standins/standins.h
+++ b/review/standins/standins.hh
@@ -53,7 +53,10 @@
 class Record
 {
 public:
-  void Open(const std::string& aPath) { mFile = std::fopen(aPath.c_str(), "w"); }
+  void Open(const std::string& aPath)
+  {
+    mFile = std::fopen(aPath.c_str(), "w");
+  }
   void Line(const std::string& aText)
   {
     const std::lock_guard lock(mMutex);
@@ -113,7 +116,10 @@
 class Channel
 {
 public:
-  explicit Channel(int aHandle = -1) : mHandle(aHandle) {}
+  explicit Channel(int aHandle = -1)
+    : mHandle(aHandle)
+  {
+  }
   Channel(const Channel&) = delete;
   Channel& operator=(const Channel&) = delete;
   ~Channel() { Close(); }
@@ -125,15 +131,22 @@
     const std::size_t colon = aAddress.rfind(':');
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<uint16_t>(std::atoi(aAddress.c_str() + colon + 1)));
+    address.sin_port =
+      htons(static_cast<uint16_t>(std::atoi(aAddress.c_str() + colon + 1)));
     inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
     mHandle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (aReceiveBuffer > 0) {
-      setsockopt(mHandle, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer, sizeof(aReceiveBuffer));
+      setsockopt(mHandle,
+                 SOL_SOCKET,
+                 SO_RCVBUF,
+                 &aReceiveBuffer,
+                 sizeof(aReceiveBuffer));
     }
     int on = 1;
     setsockopt(mHandle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    if (connect(mHandle, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    if (connect(mHandle,
+                reinterpret_cast<sockaddr*>(&address),
+                sizeof(address)) != 0) {
       Close();
       return false;
     }
@@ -255,7 +268,8 @@
   /// Reads the whole body. Returns false if it is incomplete.
   bool ReadBody(Message& aMessage, double aSeconds)
   {
-    if (strcasecmp(aMessage.Header("Transfer-Encoding").c_str(), "chunked") == 0) {
+    if (strcasecmp(aMessage.Header("Transfer-Encoding").c_str(), "chunked") ==
+        0) {
       for (;;) {
         std::string line;
         if (!ReadLine(line, aSeconds)) {
@@ -265,14 +279,16 @@
         if (size == 0) {
           return ReadLine(line, aSeconds);
         }
-        if (!Take(aMessage.mBody, size, aSeconds) || !ReadLine(line, aSeconds)) {
+        if (!Take(aMessage.mBody, size, aSeconds) ||
+            !ReadLine(line, aSeconds)) {
           return false;
         }
       }
     }
     const std::string length = aMessage.Header("Content-Length");
-    return length.empty() ||
-           Take(aMessage.mBody, std::strtoul(length.c_str(), nullptr, 10), aSeconds);
+    return length.empty() || Take(aMessage.mBody,
+                                  std::strtoul(length.c_str(), nullptr, 10),
+                                  aSeconds);
   }
 
   int Handle() const { return mHandle; }
@@ -304,13 +320,18 @@
     mHandler = std::move(aHandler);
     mSocket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (aReceiveBuffer > 0) {
-      setsockopt(mSocket, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer, sizeof(aReceiveBuffer));
+      setsockopt(mSocket,
+                 SOL_SOCKET,
+                 SO_RCVBUF,
+                 &aReceiveBuffer,
+                 sizeof(aReceiveBuffer));
     }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     inet_pton(AF_INET, aHost.c_str(), &address.sin_addr);
     socklen_t length = sizeof(address);
-    if (bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+    if (bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+          0 ||
         listen(mSocket, 1024) != 0) {
       CannotRun("cannot listen");
     }
@@ -348,11 +369,14 @@
   for (std::size_t at = 0; at < aBytes.size(); at += 3) {
     unsigned value = 0;
     for (std::size_t byte = 0; byte < 3; ++byte) {
-      value = value << 8 |
-              (at + byte < aBytes.size() ? static_cast<unsigned char>(aBytes[at + byte]) : 0U);
+      value = value << 8 | (at + byte < aBytes.size()
+                              ? static_cast<unsigned char>(aBytes[at + byte])
+                              : 0U);
     }
     for (std::size_t digit = 0; digit < 4; ++digit) {
-      text += at + digit <= aBytes.size() ? digits[value >> (18 - 6 * digit) & 63] : '=';
+      text += at + digit <= aBytes.size()
+                ? digits[value >> (18 - 6 * digit) & 63]
+                : '=';
     }
   }
   return text;
@@ -435,19 +459,25 @@
     double mEndsAt = 0;
   };
 
-  void PutLocked(const std::string& aKey, const std::string& aValue, std::int64_t aLease)
+  void PutLocked(const std::string& aKey,
+                 const std::string& aValue,
+                 std::int64_t aLease)
   {
     ++mRevision;
     Item& item = mItems[aKey];
-    item = { aValue, mRevision, item.mCreated == 0 ? mRevision : item.mCreated, aLease };
+    item = {
+      aValue, mRevision, item.mCreated == 0 ? mRevision : item.mCreated, aLease
+    };
   }
   void ExpireLocked()
   {
     for (auto lease = mLeases.begin(); lease != mLeases.end();) {
-      lease = lease->second.mEndsAt < Now() ? EndLocked(lease) : std::next(lease);
+      lease =
+        lease->second.mEndsAt < Now() ? EndLocked(lease) : std::next(lease);
     }
   }
-  std::map<std::int64_t, Lease>::iterator EndLocked(std::map<std::int64_t, Lease>::iterator aLease)
+  std::map<std::int64_t, Lease>::iterator EndLocked(
+    std::map<std::int64_t, Lease>::iterator aLease)
   {
     for (auto item = mItems.begin(); item != mItems.end();) {
       if (item->second.mLease == aLease->first) {
@@ -462,7 +492,8 @@
   static std::string Query(const std::string& aTarget, const std::string& aName)
   {
     const std::size_t mark = aTarget.find('?');
-    std::string rest = mark == std::string::npos ? "" : "&" + aTarget.substr(mark + 1);
+    std::string rest =
+      mark == std::string::npos ? "" : "&" + aTarget.substr(mark + 1);
     const std::size_t from = rest.find('&' + aName + '=');
     if (from == std::string::npos) {
       return {};
@@ -472,7 +503,8 @@
     std::string value;
     for (std::size_t at = 0; at < rest.size(); ++at) {
       if (rest[at] == '%' && at + 2 < rest.size()) {
-        value += static_cast<char>(std::strtol(rest.substr(at + 1, 2).c_str(), nullptr, 16));
+        value += static_cast<char>(
+          std::strtol(rest.substr(at + 1, 2).c_str(), nullptr, 16));
         at += 2;
       } else {
         value += rest[at];
@@ -512,7 +544,10 @@
         bytes += item.mValue.size();
         entries.push_back(ItemJson(key, item));
       }
-      return { 200, { { "entries", entries }, { "truncated", truncated }, { "as-of", mRevision } } };
+      return { 200,
+               { { "entries", entries },
+                 { "truncated", truncated },
+                 { "as-of", mRevision } } };
     }
     if (path == "/api/kv-key") {
       const std::string key = Query(target, "key");
@@ -525,7 +560,8 @@
       return { 200, item };
     }
     if (path == "/api/kv-lease") {
-      const double seconds = Json::parse(aRequest.mBody).at("ttl-ms").get<double>() / 1000;
+      const double seconds =
+        Json::parse(aRequest.mBody).at("ttl-ms").get<double>() / 1000;
       mLeases[++mLastLease] = { seconds, Now() + seconds };
       return { 200, { { "lease", mLastLease }, { "ttl-ms", seconds * 1000 } } };
     }
@@ -553,7 +589,8 @@
       Json failed = Json::array();
       for (const Json& row : body.value("precondition", Json::array())) {
         const auto found = mItems.find(row.at("key").get<std::string>());
-        const std::int64_t revision = found == mItems.end() ? 0 : found->second.mRevision;
+        const std::int64_t revision =
+          found == mItems.end() ? 0 : found->second.mRevision;
         if (revision != row.at("revision").get<std::int64_t>()) {
           failed.push_back(row);
         }
@@ -591,8 +628,9 @@
       } catch (const std::exception& failure) {
         answer = { 400, { { "error", failure.what() } } };
       }
-      if (!aChannel.Send(Answer(
-            answer.first, "Content-Type: application/json\r\n", answer.second.dump()))) {
+      if (!aChannel.Send(Answer(answer.first,
+                                "Content-Type: application/json\r\n",
+                                answer.second.dump()))) {
         return;
       }
     }
@@ -636,7 +674,8 @@
           }
           if (!isWanted) {
             Say("replica " + mId + " answers 421");
-            if (!aChannel.Send(Answer(421, "Replica-Id: " + mId + "\r\n", ""))) {
+            if (!aChannel.Send(
+                  Answer(421, "Replica-Id: " + mId + "\r\n", ""))) {
               return;
             }
             continue;
@@ -648,9 +687,10 @@
       },
       aReceiveBuffer);
     std::thread([this, &aStore, aService, aZone, aSlots, aVersion] {
-      const std::int64_t born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  std::chrono::system_clock::now().time_since_epoch())
-                                  .count();
+      const std::int64_t born =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
       for (std::int64_t number = 1;; ++number) {
         aStore.Put("servers/" + mId,
                    Json{ { "service", aService },
@@ -673,8 +713,9 @@
   /// The headers that each answer of this replica has.
   std::string Headers(const Message& aRequest) const
   {
-    return "Attempt-Id: " + aRequest.Header("Attempt-Id") + "\r\nReplica-Stamp: " + mId +
-           "." + aRequest.Header("Attempt-Id") + "\r\nReplica-Load: 1,0,64\r\n";
+    return "Attempt-Id: " + aRequest.Header("Attempt-Id") +
+           "\r\nReplica-Stamp: " + mId + "." + aRequest.Header("Attempt-Id") +
+           "\r\nReplica-Load: 1,0,64\r\n";
   }
 
 private:
@@ -709,12 +750,18 @@
                std::to_string(1 + (getpid() / 200) % 250) + '.';
   }
 
-  std::string Host(int aNumber) const { return mNetwork + std::to_string(aNumber); }
+  std::string Host(int aNumber) const
+  {
+    return mNetwork + std::to_string(aNumber);
+  }
   const std::string& Folder() const { return mFolder; }
 
-  static std::string Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+  static std::string Replaced(std::string aText,
+                              const std::string& aFrom,
+                              const std::string& aTo)
   {
-    for (std::size_t at = 0; (at = aText.find(aFrom, at)) != std::string::npos; at += aTo.size()) {
+    for (std::size_t at = 0; (at = aText.find(aFrom, at)) != std::string::npos;
+         at += aTo.size()) {
       aText.replace(at, aFrom.size(), aTo);
     }
     return aText;
@@ -727,7 +774,8 @@
     inet_pton(AF_INET, aIp.c_str(), &address.sin_addr);
     socklen_t length = sizeof(address);
     const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    if (bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+        0) {
       CannotRun("no free port");
     }
     getsockname(handle, reinterpret_cast<sockaddr*>(&address), &length);
@@ -784,8 +832,10 @@
     }
     const std::string path = mFolder + '/' + aName + ".ini";
     std::ofstream(path) << settings;
-    if (settings.empty() || access("target/platform/acaciavale-node", X_OK) != 0) {
-      CannotRun("the program is not built, or the current folder is not the repository");
+    if (settings.empty() ||
+        access("target/platform/acaciavale-node", X_OK) != 0) {
+      CannotRun("the program is not built, or the current folder is not the "
+                "repository");
     }
     Run(node, path);
     return node;
@@ -796,11 +846,14 @@
     aNode.mPid = fork();
     if (aNode.mPid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int log = open(aNode.mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int log =
+        open(aNode.mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
       setenv("ACACIAVALE_SETTINGS", aSettings.c_str(), 1);
-      execl("target/platform/acaciavale-node", "target/platform/acaciavale-node", nullptr);
+      execl("target/platform/acaciavale-node",
+            "target/platform/acaciavale-node",
+            nullptr);
       _exit(127);
     }
     Say("platform starts " + aNode.mName + " at " + aNode.mFront);
@@ -925,7 +978,8 @@
            { "gap-goal-ms", 1500 } };
 }
 
-inline Json Config(const std::vector<Json>& aRoutes, const std::vector<std::string>& aServices)
+inline Json Config(const std::vector<Json>& aRoutes,
+                   const std::vector<std::string>& aServices)
 {
   Json services = Json::array();
   for (const std::string& service : aServices) {
@@ -952,9 +1006,12 @@
                                int aDeadlineMs,
                                const std::string& aBody = "")
 {
-  return aMethod + ' ' + aPath + " HTTP/1.1\r\nHost: records.example\r\nAttempt-Id: " + aId +
+  return aMethod + ' ' + aPath +
+         " HTTP/1.1\r\nHost: records.example\r\nAttempt-Id: " + aId +
          "\r\nDeadline-Ms: " + std::to_string(aDeadlineMs) + "\r\n" +
-         (aMethod == "POST" ? "Content-Length: " + std::to_string(aBody.size()) + "\r\n" : "") +
+         (aMethod == "POST"
+            ? "Content-Length: " + std::to_string(aBody.size()) + "\r\n"
+            : "") +
          "\r\n" + (aMethod == "POST" ? aBody : "");
 }
 
