Judge late requests in a stop by what their route takes

Callers of a stopping VM lost requests that it had read late: passed on, running, and cut at the end of the grace time without an answer, calls that must not run twice among them.

Cause: CanEndBeforeCut took the route's goal, doubled for answers, for the longest duration. Where endpoints take longer, the request could not end. The decision was made only when the request was read, not before a repeat or when a place came free.

Now the longest recent duration of the route decides, with a margin for few samples, and the deadline alone where nothing is known. It is asked again before each attempt; a repeat that cannot end becomes a 502.

Evidence: LateRequest.OfASlowRouteIsRefusedAndNotCut, OfALongStreamIsRefusedAndNot- Cut, OfAnUnmeasuredRouteIsRefused and IsNotRepeatedWithoutTimeForIt failed on the code before (cut without a response, or run twice) and pass.

The table of CanEndBeforeCut in TestLibRelay held the goal as input, which is gone; its cases are kept with durations, and two for unknown ones are added.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -14,9 +14,6 @@
 /// Maximum time that a request waits for a view of the fleet. A VM that has
 /// just started or resumed receives one within a few responses of the store.
 constexpr Duration kFleetViewTimeout = std::chrono::milliseconds(400);
-/// Value of Retry-After for requests that are refused for lack of a current
-/// view or because of a stop.
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
 /// Connect timeout as a share of the goal for the first event, and its limits:
 /// above several round trips and below the retransmission of a lost packet.
 constexpr double kConnectGoalShare = 0.5;
@@ -138,9 +135,7 @@
     Refuse(503, "no time is left");
     return;
   }
-  if (IsCutByStop()) {
-    Refuse(
-      503, "this VM stops before the request would end", kDefaultRetryAfter);
+  if (RefuseLate()) {
     return;
   }
   mTimer.StartTimeout(
@@ -160,20 +155,6 @@
   Dispatch();
 }
 
-bool Exchange::IsCutByStop() const
-{
-  if (!mState->mPlannedStop) {
-    return false;
-  }
-  const TimePoint now = MonotonicNow();
-  const LateRequest request{ now - mState->mPlannedStop->mStartedAt,
-                             mState->mPlannedStop->mOpenTime,
-                             mRoute->mKind,
-                             mRoute->mFirstEventGoal,
-                             mDeadline - now };
-  return !CanEndBeforeCut(request);
-}
-
 void Exchange::ChoosePool()
 {
   double sum = 0;
@@ -258,7 +239,7 @@
 
 bool Exchange::TryDispatch()
 {
-  if (RefuseUnsafePrompt()) {
+  if (RefuseUnsafePrompt() || RefuseLate()) {
     return true;
   }
   const EndpointSelection selection = SelectEndpoint();
@@ -382,6 +363,7 @@
     mMayHaveRun =
       mMayHaveRun || (!attempt.mIsOver && attempt.mCall->WasWritten());
   }
+  RecordDuration();
   if (mIsStreaming) {
     mSession->Abort();
     Finish("the stream was aborted at the deadline");
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -50,6 +50,10 @@
   bool mIsPromptSound = false; ///< An answer has begun.
 };
 
+/// Value of Retry-After for requests that are refused for lack of a current
+/// view or because of a stop.
+inline constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
+
 /// Whether only the end of the connection ends the body. An endpoint that ends
 /// then looks like one that has answered.
 bool EndsWithConnection(const ResponseHead& aHead);
@@ -114,6 +118,11 @@
   void Finish(std::string_view aOutcome);
   double SecondsLeft() const;
 
+  // ExchangeStop.cpp: requests that are open while the VM stops.
+  bool IsCutByStop() const;
+  bool RefuseLate();
+  void RecordDuration();
+
   // ExchangeResponses.cpp: handling of the endpoints' responses.
   void OnHead(Attempt& aAttempt, const ResponseHead& aHead);
   void OnBody(Attempt& aAttempt, std::string_view aBytes);
@@ -121,8 +130,6 @@
   void OnSilence(Attempt& aAttempt);
   void EndReplaced(const Attempt& aAttempt);
   void ArmSilenceTimer(Attempt& aAttempt, Duration aTime);
-  /// Whether this VM stops before the request can be expected to end.
-  bool IsCutByStop() const;
   void ArmGapTimer(Attempt& aAttempt);
   void Resume(Attempt& aAttempt);
   Duration FirstEventTimeout(double aExpectedSeconds) const;
--- a/Libraries/LibRelay/ExchangeQueue.cpp
+++ b/Libraries/LibRelay/ExchangeQueue.cpp
@@ -60,7 +60,7 @@
   if (mIsOver || !mQueueTicket) {
     return true;
   }
-  if (RefuseUnsafePrompt()) {
+  if (RefuseUnsafePrompt() || RefuseLate()) {
     return true;
   }
   const EndpointSelection selection = SelectEndpoint();
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -409,6 +409,7 @@
   if (end == AttemptEnd::Answered) {
     if (IsSuccess(aAttempt.mHead)) {
       RecordSoundPrompt(aAttempt);
+      RecordDuration();
     }
     CancelOthers(&aAttempt);
     if (aAttempt.mIsStream) {
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -32,6 +32,30 @@
            : std::optional<TrafficShift>(found->second);
 }
 
+std::optional<Duration> RelayState::LongestExpectedOf(
+  const Route& aRoute) const
+{
+  const TimePoint now = MonotonicNow();
+  const auto summaryOf = [&](const std::string& aName) {
+    const auto found = mDurations.find(aName);
+    return found == mDurations.end() ? DurationSummary{}
+                                     : RecentSummary(found->second, now);
+  };
+  const auto own = LongestExpected(summaryOf(aRoute.mName));
+  if (own || !mSettings) {
+    return own;
+  }
+  // NOTE: Routes of the same kind with the same pools stand for one that had no
+  //       request lately.
+  DurationSummary others;
+  for (const Route& route : mSettings->mRoutes) {
+    if (route.mKind == aRoute.mKind && route.mPools == aRoute.mPools) {
+      others = Merge(others, summaryOf(route.mName));
+    }
+  }
+  return LongestExpected(others);
+}
+
 void RelayState::CheckEndpoint(const std::shared_ptr<Endpoint>& aEndpoint,
                                std::function<void(bool aHasEnded)> aCallback)
 {
@@ -140,6 +164,13 @@
       }
     }
     mState->mRegistry.SetColdRates(std::move(coldRates));
+    std::set<std::string> routes;
+    for (const Route& route : mState->mSettings->mRoutes) {
+      routes.insert(route.mName);
+    }
+    std::erase_if(mState->mDurations, [&routes](const auto& aDurations) {
+      return !routes.contains(aDurations.first);
+    });
   }
   mState->mRegistry.SetLiveVms(mState->mOptions.mVmName, aView.mServingVms);
   mState->mRegistry.SetEvacuatedDomains(aView.mEvacuatedDomains);
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -2,6 +2,7 @@
 
 #include <Acaciavale/LibCore/Random.h>
 #include <Acaciavale/LibRelay/PlannedStop.h>
+#include <Acaciavale/LibRelay/RecentDurations.h>
 #include <Acaciavale/LibRelay/Relay.h>
 #include <Acaciavale/LibRelay/Timer.h>
 #include <Acaciavale/LibRelay/VersionEvidence.h>
@@ -72,10 +73,15 @@
   bool mHasFleetView = false;   ///< Whether any view has been applied.
   std::optional<PlannedStop> mPlannedStop;
   std::size_t mOpenRequests = 0; ///< Number of exchanges.
+  std::map<std::string, RecentDurations> mDurations; ///< By route.
   Metrics mMetrics;
   /// Exchanges that wait for the next view of the fleet.
   std::deque<std::weak_ptr<Exchange>> mAwaitingFleetView;
 
+  /// How long requests of the route last at most, by those that ended recently;
+  /// empty if that is not known.
+  std::optional<Duration> LongestExpectedOf(const Route& aRoute) const;
+
   /// Whether the settings are recent enough to recognize revoked keys.
   bool AreKeysCurrent() const;
 
--- a/Tests/LibRelay/TestPlannedStop.cpp
+++ b/Tests/LibRelay/TestPlannedStop.cpp
@@ -4,6 +4,7 @@
 
 using namespace Acaciavale;
 using namespace Acaciavale::Relay;
+using std::chrono::milliseconds;
 
 TEST_GROUP(PlannedStop){};
 
@@ -12,28 +13,29 @@
   struct Case
   {
     int mSinceStop;
-    RequestKind mKind;
-    int mGoal;
+    std::optional<int> mLongestExpected;
     int mTimeLeft;
     bool mIsTaken;
   };
-  // All in ms; open requests are cut after 7,000.
-  for (const Case& expected :
-       { Case{ 0, RequestKind::Stream, 4000, 20000, true },
-         Case{ 2500, RequestKind::Stream, 4000, 20000, true },
-         Case{ 3500, RequestKind::Stream, 4000, 20000, false },
-         Case{ 3500, RequestKind::Stream, 4000, 3000, true },
-         Case{ 3500, RequestKind::Once, 400, 20000, true },
-         Case{ 6200, RequestKind::Once, 400, 20000, true },
-         Case{ 6300, RequestKind::Once, 400, 20000, false },
-         Case{ 6300, RequestKind::Repeatable, 400, 20000, false },
-         Case{ 6300, RequestKind::Repeatable, 400, 700, true },
-         Case{ 7100, RequestKind::Repeatable, 400, 700, false } }) {
-    const LateRequest request{ std::chrono::milliseconds(expected.mSinceStop),
-                               std::chrono::milliseconds(7000),
-                               expected.mKind,
-                               std::chrono::milliseconds(expected.mGoal),
-                               std::chrono::milliseconds(expected.mTimeLeft) };
+  // All in ms; open requests are ended after 7,000.
+  for (const Case& expected : { Case{ 0, 7000, 20000, true },
+                                Case{ 0, 7001, 20000, false },
+                                Case{ 2500, 4500, 20000, true },
+                                Case{ 3500, 4000, 20000, false },
+                                Case{ 3500, 4000, 3000, true },
+                                Case{ 6200, 800, 20000, true },
+                                Case{ 6300, 800, 20000, false },
+                                Case{ 6300, 800, 700, true },
+                                Case{ 0, std::nullopt, 20000, false },
+                                Case{ 0, std::nullopt, 7000, true },
+                                Case{ 7100, 0, 700, false } }) {
+    LateRequest request;
+    request.mSinceStop = milliseconds(expected.mSinceStop);
+    request.mOpenTime = milliseconds(7000);
+    request.mTimeLeft = milliseconds(expected.mTimeLeft);
+    if (expected.mLongestExpected) {
+      request.mLongestExpected = milliseconds(*expected.mLongestExpected);
+    }
     CHECK_EQUAL(expected.mIsTaken, CanEndBeforeCut(request));
   }
 }
--- /dev/null
+++ b/Tests/Platform/TestLateRequest.cpp
@@ -0,0 +1,182 @@
+#include "StandInPlatform.h"
+
+#include <Acaciavale/LibRelay/Timer.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Acaciavale;
+using namespace Acaciavale::Platform;
+using namespace Acaciavale::Platform::StandIns;
+using Acaciavale::Relay::CallResult;
+
+namespace {
+
+/// Time from SIGTERM to SIGKILL. Open requests end one second before.
+constexpr Duration kStopTimeout = std::chrono::milliseconds(3000);
+/// Longer than twice the goal of the routes, 400 ms.
+constexpr Duration kSlowWork = std::chrono::milliseconds(1000);
+/// At this time since SIGTERM, less than the slow work is left until the end.
+constexpr Duration kLate = std::chrono::milliseconds(1150);
+
+} // namespace
+
+/// Requests that a VM reads late in a planned stop.
+TEST_GROUP(LateRequest)
+{
+  PlatformFixture mFixture;
+  std::vector<std::unique_ptr<Relay::Timer>> mTimers;
+  bool mIsStopped = false;
+  int mCalls = 0;
+
+  void setup() override
+  {
+    mFixture.mConfig.mStopTimeout = kStopTimeout;
+    mFixture.PutSettings(1);
+  }
+
+  /// Responds after the time.
+  Replica::Script RespondAfter(Duration aTime)
+  {
+    return [this, aTime](Replica& aSelf, const auto& aSession) {
+      mTimers.push_back(std::make_unique<Relay::Timer>(mFixture.mIoContext));
+      mTimers.back()->Start(
+        aTime, [&aSelf, aSession] { RespondWith("done")(aSelf, aSession); });
+    };
+  }
+
+  /// Streams an event each 100 ms, for the time.
+  Replica::Script StreamFor(Duration aTime)
+  {
+    return [this, aTime](Replica& aSelf, const auto& aSession) {
+      aSession->BeginStream(aSelf.SuccessHead(*aSession));
+      SendEvent(aSession, 1, static_cast<int>(aTime / kEventInterval));
+    };
+  }
+
+  void SendEvent(const std::shared_ptr<Relay::ClientSession>& aSession,
+                 int aEvent,
+                 int aLast)
+  {
+    mTimers.push_back(std::make_unique<Relay::Timer>(mFixture.mIoContext));
+    mTimers.back()->Start(kEventInterval, [=, this] {
+      const std::string number = std::to_string(aEvent);
+      aSession->SendChunk("id: " + number + "\ndata: " + number + "\n\n");
+      if (aEvent < aLast) {
+        SendEvent(aSession, aEvent + 1, aLast);
+      } else {
+        aSession->EndStream();
+      }
+    });
+  }
+
+  void Stop()
+  {
+    mFixture.mNode->Stop([this] { mIsStopped = true; });
+  }
+
+  std::shared_ptr<Response> Start(const std::string& aTarget, int& aEnded)
+  {
+    const auto response = std::make_shared<Response>();
+    mOpenCalls.push_back(
+      mFixture.StartCall({ "POST",
+                           aTarget,
+                           "body",
+                           { { "Key", "key-1" },
+                             { "Deadline-Ms", "4000" },
+                             { "Attempt-Id",
+                               "late-" + std::to_string(++mCalls) } } },
+                         mFixture.mNode->CallerAddress(),
+                         response,
+                         [&aEnded] { ++aEnded; }));
+    return response;
+  }
+
+  Response CallLate(const std::string& aTarget)
+  {
+    int ended = 0;
+    const auto response = Start(aTarget, ended);
+    mFixture.RunUntil([&ended] { return ended > 0; });
+    CHECK(response->mResult == CallResult::Complete);
+    return *response;
+  }
+
+  static constexpr Duration kEventInterval = std::chrono::milliseconds(100);
+  std::vector<std::shared_ptr<Relay::OutboundCall>> mOpenCalls;
+};
+
+/// The route's answers take longer than its goal promises.
+TEST(LateRequest, OfASlowRouteIsRefusedAndNotCut)
+{
+  Replica& desk = mFixture.AddEndpoint("desk", "i-1", RespondAfter(kSlowWork));
+  mFixture.StartNode();
+  LONGS_EQUAL(
+    200, mFixture.Call({ "POST", "/once/x", "body", {} }).mHead.result_int());
+  Stop();
+  mFixture.RunFor(kLate);
+  const Response response = CallLate("/once/x");
+  LONGS_EQUAL(503, response.mHead.result_int());
+  CHECK(response.mHead.count("Retry-After") > 0);
+  LONGS_EQUAL(1, desk.mArrivals.size());
+}
+
+/// Streams go on for long after the first event, which the goal is for.
+TEST(LateRequest, OfALongStreamIsRefusedAndNotCut)
+{
+  Replica& engine =
+    mFixture.AddEndpoint("engines", "i-1", StreamFor(kSlowWork));
+  mFixture.StartNode();
+  LONGS_EQUAL(
+    200, mFixture.Call({ "POST", "/stream/x", "body", {} }).mHead.result_int());
+  Stop();
+  mFixture.RunFor(kLate);
+  LONGS_EQUAL(503, CallLate("/stream/x").mHead.result_int());
+  LONGS_EQUAL(1, engine.mArrivals.size());
+}
+
+/// Nothing is known of the route, whose answers may take as long as its
+/// time limit.
+TEST(LateRequest, OfAnUnmeasuredRouteIsRefused)
+{
+  Replica& desk = mFixture.AddEndpoint("desk", "i-1", RespondAfter(kSlowWork));
+  mFixture.StartNode();
+  Stop();
+  mFixture.RunFor(kLate);
+  LONGS_EQUAL(503, CallLate("/once/x").mHead.result_int());
+  LONGS_EQUAL(0, desk.mArrivals.size());
+}
+
+/// Another route of the same kind at the same pool tells how long it takes.
+TEST(LateRequest, OfAFastRouteIsServed)
+{
+  mFixture.AddEndpoint("desk", "i-1", RespondWith("done"));
+  mFixture.StartNode();
+  for (int call = 0; call < 4; ++call) {
+    mFixture.Call({ "POST", "/once/x", "body", {} });
+  }
+  Stop();
+  mFixture.RunFor(kLate);
+  LONGS_EQUAL(200, CallLate("/once/x").mHead.result_int());
+  LONGS_EQUAL(200, CallLate("/short/x").mHead.result_int());
+}
+
+/// The first attempt fails when too little time is left for a second one.
+TEST(LateRequest, IsNotRepeatedWithoutTimeForIt)
+{
+  Replica& first = mFixture.AddEndpoint("desk", "i-1", RespondAfter(kSlowWork));
+  mFixture.StartNode();
+  LONGS_EQUAL(
+    200, mFixture.Call({ "POST", "/again/x", "body", {} }).mHead.result_int());
+  first.SetScript([this](Replica&, const auto& aSession) {
+    mTimers.push_back(std::make_unique<Relay::Timer>(mFixture.mIoContext));
+    mTimers.back()->Start(kLate, [aSession] { aSession->Abort(); });
+  });
+  int ended = 0;
+  const auto response = Start("/again/x", ended);
+  mFixture.RunUntil([&first] { return first.mArrivals.size() == 2; });
+  Replica& second =
+    mFixture.AddEndpoint("desk", "i-2", RespondAfter(kSlowWork));
+  Stop();
+  mFixture.RunUntil([&ended] { return ended == 1; });
+  LONGS_EQUAL(502, response->mHead.result_int());
+  LONGS_EQUAL(0, second.mArrivals.size());
+}
