Give open requests a final response at the end of a stop

Callers whose request was open when a stop ended got a closed connection: those that were being served, those that waited for a place, and those that still sent their body. None could tell whether it had run.

Cause: CheckStopProgress closed all sessions and exited at once. Now the phases of a stop are a function of the time and the open requests (PhaseOfStop). In the last second, a request that was not passed on is refused with 503, a stream that has begun is broken off, and all others get 504; the process exits when these are written, or half a second later.

A read of a refused request may still be under way, so the rest of the request is discarded through a buffer of its own; the time for it no longer begins anew with each read.

LateRequest.ThatWaitsForAPlaceIsRefusedAtTheEnd, ThatIsStillRunAtTheEndGetsAnAnswer and ThatIsNotWholeAtTheEndIsRefused failed before (closed without a response) and pass.

EndToEnd.AStoppingVmExitsBeforeItIsKilled asked for an incomplete response at the end of the stop; the response is complete now and promises nothing. The test asks for the 504, and that the VM stops before the timeout, which it did not check.

--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -178,20 +178,17 @@
 void ClientSession::Private::Reject(const std::shared_ptr<ClientSession>& aSelf,
                                     const error_code& aError)
 {
-  ResponseHead head;
-  head.version(11);
+  http::status status = http::status::bad_request;
   const bool isHeadTooLarge = aError == http::error::header_limit ||
                               aError == http::error::buffer_overflow;
   if (isHeadTooLarge) {
-    head.result(http::status::request_header_fields_too_large);
+    status = http::status::request_header_fields_too_large;
   } else if (aError == http::error::body_limit) {
-    head.result(http::status::payload_too_large);
-  } else if (aError.category() ==
-               http::make_error_code(http::error::bad_version).category() &&
-             aError != http::error::end_of_stream &&
-             aError != http::error::partial_message) {
-    head.result(http::status::bad_request);
-  } else {
+    status = http::status::payload_too_large;
+  } else if (aError.category() !=
+               http::make_error_code(http::error::bad_version).category() ||
+             aError == http::error::end_of_stream ||
+             aError == http::error::partial_message) {
     Close();
     return;
   }
@@ -201,9 +198,20 @@
       { { "error", aError.message() },
         { "refused-field-bytes",
           std::to_string(mParser->RefusedFieldBytes()) } });
+  RefuseIncomplete(aSelf, status);
+}
+
+void ClientSession::Private::RefuseIncomplete(
+  const std::shared_ptr<ClientSession>& aSelf,
+  http::status aStatus)
+{
+  error_code ignored; // NOTE: Cancels a read of the request.
+  mSocket.cancel(ignored);
   mClosesAfterResponse = true;
   mIsRequestIncomplete = true;
   mPhase = Phase::Responding;
+  ResponseHead head;
+  head.result(aStatus);
   aSelf->Send(std::move(head), {});
 }
 
@@ -328,12 +336,22 @@
     AwaitClose(aSelf);
     return;
   }
+  Discard(aSelf, std::make_shared<DiscardBuffer>());
+}
+
+/// Reads the rest of a refused request. A read of the request itself may not have
+/// ended yet, so its buffer is not used.
+void ClientSession::Private::Discard(
+  const std::shared_ptr<ClientSession>& aSelf,
+  const std::shared_ptr<DiscardBuffer>& aBuffer)
+{
   mSocket.async_read_some(
-    mBuffer.prepare(1024), [aSelf](const error_code& aError, std::size_t) {
+    asio::buffer(*aBuffer),
+    [aSelf, aBuffer](const error_code& aError, std::size_t) {
       if (aError) {
         aSelf->mPrivate->Close();
       } else if (aSelf->mPrivate->mPhase == Phase::Closing) {
-        aSelf->mPrivate->Linger(aSelf);
+        aSelf->mPrivate->Discard(aSelf, aBuffer);
       }
     });
 }
--- a/Libraries/LibRelay/ClientSessionPrivate.h
+++ b/Libraries/LibRelay/ClientSessionPrivate.h
@@ -4,6 +4,7 @@
 
 #include <Acaciavale/LibRelay/ClientSession.h>
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -58,6 +59,7 @@
   std::function<void()> mOnDisconnect;
   std::function<void()> mOnDrained;
 
+  using DiscardBuffer = std::array<char, 4096>;
   using ReadStep = void (Private::*)(const std::shared_ptr<ClientSession>&);
   /// Returns a read handler that runs the next step, or rejects the request
   /// after an error.
@@ -86,11 +88,16 @@
   void HandleRequest(const std::shared_ptr<ClientSession>& aSelf);
   void Reject(const std::shared_ptr<ClientSession>& aSelf,
               const error_code& aError);
+  /// Responds to a request that has not been read to its end.
+  void RefuseIncomplete(const std::shared_ptr<ClientSession>& aSelf,
+                        http::status aStatus);
   void WatchForDisconnect(const std::shared_ptr<ClientSession>& aSelf);
   void Write(const std::shared_ptr<ClientSession>& aSelf, std::string aText);
   void WriteNext(const std::shared_ptr<ClientSession>& aSelf);
   void FinishResponse(const std::shared_ptr<ClientSession>& aSelf);
   void Linger(const std::shared_ptr<ClientSession>& aSelf);
+  void Discard(const std::shared_ptr<ClientSession>& aSelf,
+               const std::shared_ptr<DiscardBuffer>& aBuffer);
   void AwaitClose(const std::shared_ptr<ClientSession>& aSelf);
   void WatchPeer(const std::shared_ptr<ClientSession>& aSelf);
   void CheckPeer(const std::shared_ptr<ClientSession>& aSelf);
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -67,12 +67,12 @@
   , mTimer(mState->mLoop)
   , mQueueTimer(mState->mLoop)
 {
-  mState->mOpenRequests += 1;
+  mState->mExchanges.insert(this);
 }
 
 Exchange::~Exchange()
 {
-  mState->mOpenRequests -= 1;
+  mState->mExchanges.erase(this);
 }
 
 void Exchange::Begin()
@@ -354,15 +354,20 @@
            queue.mStartInterval, queue.mQueue.size(), mState->mRandom.Unit()));
 }
 
-void Exchange::OnDeadline()
+void Exchange::NoteOpenAttempts()
 {
-  if (mIsOver) {
-    return;
-  }
   for (const Attempt& attempt : mAttempts) {
     mMayHaveRun =
       mMayHaveRun || (!attempt.mIsOver && attempt.mCall->WasWritten());
   }
+}
+
+void Exchange::OnDeadline()
+{
+  if (mIsOver) {
+    return;
+  }
+  NoteOpenAttempts();
   RecordDuration();
   if (mIsStreaming) {
     mSession->Abort();
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -84,6 +84,10 @@
   /// the request stays queued.
   bool TryLeaveQueue();
 
+  /// Ends the request with a final response, or breaks its stream off, because
+  /// the VM stops.
+  void EndForStop();
+
 private:
   /// The end of an attempt, which decides about the next step of the request.
   enum class AttemptEnd
@@ -112,6 +116,8 @@
   void StartAttempt(const EndpointSelection& aSelection);
   void Fail();
   void OnDeadline();
+  /// Notes whether an open attempt may run the request.
+  void NoteOpenAttempts();
   void Refuse(unsigned aStatus,
               std::string_view aReason,
               std::optional<Duration> aRetryAfter = std::nullopt);
--- a/Libraries/LibRelay/ExchangeStop.cpp
+++ b/Libraries/LibRelay/ExchangeStop.cpp
@@ -41,4 +41,20 @@
   durations = WithDuration(durations, now - mArrivedAt, now);
 }
 
+void Exchange::EndForStop()
+{
+  if (mIsOver) {
+    return;
+  }
+  NoteOpenAttempts();
+  if (mIsStreaming) {
+    mSession->Abort();
+    Finish("the stream was aborted, as this VM stops");
+  } else if (mMayHaveRun) {
+    Refuse(504, "this VM stops before the answer");
+  } else {
+    Refuse(503, "this VM stops before the request began", kDefaultRetryAfter);
+  }
+}
+
 } // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/Listener.cpp
+++ b/Libraries/LibRelay/Listener.cpp
@@ -142,6 +142,17 @@
                      });
 }
 
+void Listener::RefuseUnread()
+{
+  const auto sessions = mPrivate->mSessions;
+  for (const auto& session : sessions) {
+    if (session->mPrivate->mPhase == ClientSession::Private::Phase::Reading) {
+      session->mPrivate->RefuseIncomplete(
+        session, http::status::service_unavailable);
+    }
+  }
+}
+
 void Listener::AbortAll()
 {
   const auto sessions = mPrivate->mSessions;
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -211,6 +211,17 @@
   mState->mPlannedStop = PlannedStop{ MonotonicNow(), aOpenTime };
 }
 
+void RequestRelay::EndOpenRequests()
+{
+  std::vector<std::shared_ptr<Exchange>> open;
+  for (Exchange* const exchange : mState->mExchanges) {
+    open.push_back(exchange->shared_from_this());
+  }
+  for (const auto& exchange : open) {
+    exchange->EndForStop();
+  }
+}
+
 void RequestRelay::NotifySnapshotFailed()
 {
   mState->mSnapshotFailed = true;
@@ -240,7 +251,7 @@
 
 std::size_t RequestRelay::OpenRequests() const
 {
-  return mState->mOpenRequests;
+  return mState->mExchanges.size();
 }
 
 std::map<std::string, TrafficShiftEvidence> RequestRelay::Evidence() const
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 
 namespace Acaciavale::Relay {
 
@@ -72,7 +73,7 @@
   bool mSnapshotFailed = false; ///< Whether the latest read failed.
   bool mHasFleetView = false;   ///< Whether any view has been applied.
   std::optional<PlannedStop> mPlannedStop;
-  std::size_t mOpenRequests = 0; ///< Number of exchanges.
+  std::set<Exchange*> mExchanges; ///< All that exist.
   std::map<std::string, RecentDurations> mDurations; ///< By route.
   Metrics mMetrics;
   /// Exchanges that wait for the next view of the fleet.
--- a/Tests/LibRelay/TestPlannedStop.cpp
+++ b/Tests/LibRelay/TestPlannedStop.cpp
@@ -39,3 +39,37 @@
     CHECK_EQUAL(expected.mIsTaken, CanEndBeforeCut(request));
   }
 }
+
+TEST(PlannedStop, PhasesFollowTheTimeAndTheOpenRequests)
+{
+  struct Case
+  {
+    int mElapsed;
+    bool mHasRequests;
+    StopPhase mPhase;
+  };
+  // All in ms; the process is killed after 8,000.
+  for (const Case& expected : { Case{ 0, false, StopPhase::Accepting },
+                                Case{ 2400, true, StopPhase::Accepting },
+                                Case{ 2500, false, StopPhase::Over },
+                                Case{ 2500, true, StopPhase::Draining },
+                                Case{ 6900, true, StopPhase::Draining },
+                                Case{ 7000, true, StopPhase::Ending },
+                                Case{ 7000, false, StopPhase::Over },
+                                Case{ 7400, true, StopPhase::Ending },
+                                Case{ 7500, true, StopPhase::Over } }) {
+    const StopProgress progress{ milliseconds(expected.mElapsed),
+                                 milliseconds(8000),
+                                 expected.mHasRequests };
+    CHECK(expected.mPhase == PhaseOfStop(progress));
+  }
+}
+
+/// Less time than the margins: what is open is ended at once.
+TEST(PlannedStop, AShortStopEndsRequestsAtOnce)
+{
+  CHECK(PhaseOfStop({ milliseconds(0), milliseconds(800), true }) ==
+        StopPhase::Ending);
+  CHECK(PhaseOfStop({ milliseconds(0), milliseconds(400), true }) ==
+        StopPhase::Over);
+}
--- a/Tests/Platform/TestEndToEnd.cpp
+++ b/Tests/Platform/TestEndToEnd.cpp
@@ -404,10 +404,12 @@
                      response,
                      [] {});
   mFixture.RunUntil([&] { return desk.mArrivals.size() == 1; });
+  const TimePoint stoppedAt = MonotonicNow();
   bool isStopped = false;
   mFixture.mNode->Stop([&isStopped] { isStopped = true; });
   mFixture.RunUntil([&isStopped] { return isStopped; });
-  CHECK(response->mResult != CallResult::Complete);
+  LONGS_EQUAL(504, response->mHead.result_int());
+  CHECK(MonotonicNow() - stoppedAt < mFixture.mConfig.mStopTimeout);
 }
 
 TEST(EndToEnd, UsesTheLatestSettingsAfterPowerLoss)
--- a/Tests/Platform/TestLateRequest.cpp
+++ b/Tests/Platform/TestLateRequest.cpp
@@ -180,3 +180,60 @@
   LONGS_EQUAL(502, response->mHead.result_int());
   LONGS_EQUAL(0, second.mArrivals.size());
 }
+
+/// The VM sends the endpoint eight requests at once. Others were not passed on
+/// and are refused, so that their callers may repeat them.
+TEST(LateRequest, ThatWaitsForAPlaceIsRefusedAtTheEnd)
+{
+  Replica& desk = mFixture.AddEndpoint("desk", "i-1", RespondWith("done"));
+  mFixture.StartNode();
+  for (int call = 0; call < 4; ++call) {
+    mFixture.Call({ "POST", "/open/x", "body", {} });
+  }
+  desk.SetScript(NeverRespond());
+  Stop();
+  mFixture.RunFor(std::chrono::milliseconds(1850));
+  int ended = 0;
+  std::vector<std::shared_ptr<Response>> responses;
+  for (int call = 0; call < 12; ++call) {
+    responses.push_back(Start("/open/x", ended));
+  }
+  mFixture.RunUntil([&ended] { return ended == 12; });
+  std::map<unsigned, int> statuses;
+  for (const auto& response : responses) {
+    CHECK(response->mResult == CallResult::Complete);
+    statuses[response->mHead.result_int()] += 1;
+  }
+  LONGS_EQUAL(8, statuses[504]);
+  LONGS_EQUAL(4, statuses[503]);
+}
+
+/// The end of the stop is an answer, which promises nothing, and no close.
+TEST(LateRequest, ThatIsStillRunAtTheEndGetsAnAnswer)
+{
+  Replica& desk = mFixture.AddEndpoint("desk", "i-1", NeverRespond());
+  mFixture.StartNode();
+  int ended = 0;
+  const auto response = Start("/once/x", ended);
+  mFixture.RunUntil([&desk] { return desk.mArrivals.size() == 1; });
+  Stop();
+  mFixture.RunUntil([&ended] { return ended == 1; });
+  CHECK(response->mResult == CallResult::Complete);
+  LONGS_EQUAL(504, response->mHead.result_int());
+  mFixture.RunUntil([this] { return mIsStopped; });
+}
+
+/// The body has not arrived when the VM ends.
+TEST(LateRequest, ThatIsNotWholeAtTheEndIsRefused)
+{
+  mFixture.AddEndpoint("desk", "i-1", NeverRespond());
+  mFixture.StartNode();
+  Stop();
+  mFixture.RunFor(std::chrono::milliseconds(1850));
+  const std::string received = mFixture.ExchangeBytes(
+    mFixture.mNode->CallerAddress(),
+    "POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 400\r\n"
+    "Key: key-1\r\nAttempt-Id: late\r\n\r\nbody");
+  STRCMP_EQUAL("HTTP/1.1 503 ", received.substr(0, 13).c_str());
+  CHECK(received.find("Connection: close") != std::string::npos);
+}
--- a/include/Acaciavale/LibRelay/ClientSession.h
+++ b/include/Acaciavale/LibRelay/ClientSession.h
@@ -91,6 +91,9 @@
   /// Whether a request is open or a response is not completely sent.
   bool IsBusy() const;
 
+  /// Refuses the requests that have not been read to their end.
+  void RefuseUnread();
+
   /// Closes all connections, also those with an open request.
   void AbortAll();
 
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -91,9 +91,14 @@
   void Apply(FleetView aView);
 
   /// Notifies the relay that the VM was asked to stop, and that requests which
-  /// are still open aOpenTime later will be cut.
+  /// are still open aOpenTime later will be ended.
   void NotifyStop(Duration aOpenTime);
 
+  /// Ends all open requests, as the VM's process is about to exit. A request that
+  /// was not passed on is refused, a stream is broken off, and all others get a
+  /// response that promises nothing.
+  void EndOpenRequests();
+
   /// Notifies the relay that the store cannot be read. Until the next view,
   /// requests that would wait for a view are refused immediately.
   void NotifySnapshotFailed();
