Take no head that is cut off for an answer in serve

Callers of acaciavale serve would get an empty 200, framed as whole and billed, when an endpoint closed within its response's head; a cut-off 503 would be passed on as "not run", and the store client would take a cut-off 404 for "no such key" and 409 for a write that was refused.

Cause: libcurl reports success with the status and an empty body in these cases, and both clients took success for a whole response. The lines of the head tell now whether it has ended; if not, the attempt is lost, or the outcome of the store's call unknown.

EndpointClient.AHeadThatIsCutOffIsNoAnswer and both tests of CutOffStoreAnswer failed before and pass: each place in three heads and two answers of the store.

--- a/Libraries/LibEndpoint/EndpointClient.cpp
+++ b/Libraries/LibEndpoint/EndpointClient.cpp
@@ -1,3 +1,4 @@
+#include <Acaciavale/LibCore/ResponseHeadProgress.h>
 #include <Acaciavale/LibEndpoint/EndpointClient.h>
 
 #include <asio/io_context.hpp>
@@ -16,7 +17,6 @@
 constexpr long kReceiveBufferBytes = 4096;
 constexpr std::size_t kMaxIdleHandles = 256;
 constexpr int kFirstSuccessStatus = 200;
-constexpr std::string_view kStatusLinePrefix = "HTTP/";
 
 /// A transfer and all data that libcurl refers to by pointer.
 struct Transfer
@@ -27,6 +27,7 @@
   EndpointRequest mRequest;
   EndpointObserver mObserver;
   EndpointResponseHeaders mHeaders;
+  ResponseHeadProgress mHeadProgress;
   bool mHeadersNotified = false;
   bool mIsCancelled = false;
   bool mIsPaused = false;
@@ -108,14 +109,15 @@
                          std::size_t aCount,
                          void* aTransfer)
 {
-  auto& headers = static_cast<Transfer*>(aTransfer)->mHeaders;
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
   const std::string_view line(aBytes, aSize * aCount);
-  if (line.starts_with(kStatusLinePrefix)) {
+  if (IsStatusLine(line)) {
     // NOTE: Interim responses precede the answer; their headers are not its
     // own.
-    headers = {};
+    transfer.mHeaders = {};
   }
-  ParseHeaderLine(headers, line);
+  transfer.mHeadProgress = WithHeadLine(transfer.mHeadProgress, line);
+  ParseHeaderLine(transfer.mHeaders, line);
   return aSize * aCount;
 }
 
@@ -153,9 +155,12 @@
   curl_easy_getinfo(
     aTransfer.mHandle, CURLINFO_REQUEST_SIZE, &requestBytesSent);
   TransferResult result;
-  result.mStatus = static_cast<int>(status);
-  result.mDetail = curl_easy_strerror(aCurlCode);
-  if (aCurlCode == CURLE_OK) {
+  const bool hasHead = aTransfer.mHeadProgress.mIsComplete;
+  result.mStatus = hasHead ? static_cast<int>(status) : 0;
+  result.mDetail = aCurlCode == CURLE_OK && !hasHead
+                     ? "The connection was closed within the head."
+                     : curl_easy_strerror(aCurlCode);
+  if (aCurlCode == CURLE_OK && hasHead) {
     result.mOutcome = TransferOutcome::Complete;
   } else if (requestBytesSent == 0) {
     result.mOutcome = TransferOutcome::NotSent;
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "LibPlatform/HttpClient.h"
 
+#include <Acaciavale/LibCore/ResponseHeadProgress.h>
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -59,6 +61,16 @@
   return aSize * aCount;
 }
 
+std::size_t OnHeadLine(char* aBytes,
+                       std::size_t aSize,
+                       std::size_t aCount,
+                       void* aProgress)
+{
+  auto& progress = *static_cast<ResponseHeadProgress*>(aProgress);
+  progress = WithHeadLine(progress, { aBytes, aSize * aCount });
+  return aSize * aCount;
+}
+
 long Milliseconds(Duration aTime)
 {
   const auto whole =
@@ -200,6 +212,9 @@
   SetOptions(handle.get(), aCall, body);
   SetMethod(handle.get(), aCall, upload);
   curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
+  ResponseHeadProgress headProgress;
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, OnHeadLine);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &headProgress);
   const CURLcode result = curl_easy_perform(handle.get());
   if (result != CURLE_OK) {
     const bool arrived = MayHaveArrived(handle.get(), result);
@@ -207,6 +222,10 @@
                              : ErrorCode::Unavailable,
                      curl_easy_strerror(result));
   }
+  if (!headProgress.mIsComplete) {
+    return MakeError(ErrorCode::OutcomeUnknown,
+                     "The connection was closed within the response head.");
+  }
   HttpResponse response = ResponseOf(handle.get(), std::move(body));
   mPrivate->ReleaseHandle(std::move(handle));
   return response;
--- a/Tests/LibEndpoint/TestEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestEndpointClient.cpp
@@ -186,6 +186,39 @@
   CHECK(headers[0] == (EndpointResponseHeaders{ 200, "", "", "" }));
 }
 
+// libcurl takes a head that is cut off for a whole one with an empty body.
+TEST(EndpointClient, AHeadThatIsCutOffIsNoAnswer)
+{
+  EndpointClient client(mContext);
+  for (const std::string head :
+       { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: r1\r\n",
+         "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n",
+         "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nServer: a\r\n" }) {
+    for (std::size_t bytes = 0; bytes <= head.size(); ++bytes) {
+      ScriptedEndpoint endpoint(mContext, [&](auto& aSocket, int) {
+        WriteText(aSocket, head.substr(0, bytes));
+        aSocket.close();
+      });
+      bool hasHeaders = false;
+      std::optional<TransferResult> result;
+      EndpointObserver observer;
+      observer.mOnHeaders = [&](const EndpointResponseHeaders&) {
+        hasHeaders = true;
+      };
+      observer.mOnDone = [&](const TransferResult& aResult) {
+        result = aResult;
+      };
+      client.Start(MakeRequest(endpoint.Address()), observer);
+      while (!result) {
+        mContext.run_one();
+      }
+      CHECK(result->mOutcome == TransferOutcome::ConnectionLost);
+      CHECK_FALSE(hasHeaders);
+      LONGS_EQUAL(0, result->mStatus);
+    }
+  }
+}
+
 // The second copy arrives when the next request has been sent, so that nothing
 // but the connection tells whose answer it is.
 TEST(EndpointClient, ALateCopyOfAnAnswerIsNotTheNextAnswer)
--- /dev/null
+++ b/Tests/LibPlatform/TestCutOffStoreAnswer.cpp
@@ -0,0 +1,75 @@
+#include <Acaciavale/LibPlatform/HttpKeyValueClient.h>
+
+#include <LibEndpoint/ScriptedEndpoint.h>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Acaciavale;
+
+namespace {
+
+/// A store that writes the first bytes of an answer to each call and closes the
+/// connection.
+struct CutOffStore
+{
+  explicit CutOffStore(std::string aBytes)
+    : mBytes(std::move(aBytes))
+  {
+  }
+
+  ~CutOffStore()
+  {
+    mContext.stop();
+    mThread.join();
+  }
+
+  KeyValueClientOptions ClientOptions() const
+  {
+    KeyValueClientOptions options;
+    options.mAddress = mEndpoint.Address();
+    options.mCallsPerSecond = 1e6;
+    options.mCallBurst = 1000;
+    options.mTimeout = std::chrono::seconds(5);
+    return options;
+  }
+
+  std::string mBytes;
+  asio::io_context mContext{ 1 };
+  ScriptedEndpoint mEndpoint{ mContext, [this](auto& aSocket, int) {
+                               WriteText(aSocket, mBytes);
+                               aSocket.close();
+                             } };
+  std::thread mThread{ [this] { mContext.run(); } };
+};
+
+} // namespace
+
+TEST_GROUP(CutOffStoreAnswer){};
+
+/// A status without the end of its head is not the store's word that there is
+/// no such key.
+TEST(CutOffStoreAnswer, DoesNotTellThatAKeyIsMissing)
+{
+  const std::string head = "HTTP/1.1 404 Not Found\r\nServer: store\r\n";
+  for (std::size_t bytes = 0; bytes <= head.size(); ++bytes) {
+    CutOffStore store(head.substr(0, bytes));
+    HttpKeyValueClient client(store.ClientOptions());
+    const auto entry = client.Store().mRead("a");
+    CHECK_FALSE(entry.has_value());
+    CHECK(entry.error().mCode == ErrorCode::Unavailable);
+  }
+}
+
+/// The write may have been committed.
+TEST(CutOffStoreAnswer, LeavesTheOutcomeOfAWriteUnknown)
+{
+  const std::string head = "HTTP/1.1 409 Conflict\r\nServer: store\r\n";
+  for (std::size_t bytes = 0; bytes <= head.size(); ++bytes) {
+    CutOffStore store(head.substr(0, bytes));
+    HttpKeyValueClient client(store.ClientOptions());
+    const auto revision = client.Store().mCompareAndSwap({ "a", "one", 0, 0 });
+    CHECK_FALSE(revision.has_value());
+    CHECK(revision.error().mCode == ErrorCode::OutcomeUnknown);
+  }
+}
