Leave a silent stream only when another endpoint has begun it

Cause: the silent attempt was closed when the endpoint that was asked instead had not refused in time, so its silence was taken for a yes. Now the head of a response that begins the stream ends the other attempts, and nothing else. A second silent endpoint is replaced by a third.

--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -40,9 +40,9 @@
   /// Comments from before the first event, which goes out after them.
   std::string mHeldComments;
   std::unique_ptr<Timer> mSilenceTimer;
-  /// Attempt at another endpoint that is to take the stream over, while it is
-  /// not known whether that endpoint has a place.
-  const Attempt* mReplacement = nullptr;
+  /// Whether another endpoint was asked to take the stream over, as this one is
+  /// silent.
+  bool mIsSilent = false;
   /// Larger model to which the request moves with the first event.
   std::optional<std::size_t> mModelAfterFirstEvent;
   /// Suspect part of the prompt that the attempt is a trial of; 0: none.
@@ -134,7 +134,7 @@
   void OnBody(Attempt& aAttempt, std::string_view aBytes);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
   void OnSilence(Attempt& aAttempt);
-  void EndReplaced(const Attempt& aAttempt);
+  void TakeOver(const Attempt& aAttempt);
   void ArmSilenceTimer(Attempt& aAttempt, Duration aTime);
   void ArmGapTimer(Attempt& aAttempt);
   void Resume(Attempt& aAttempt);
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -23,9 +23,6 @@
 constexpr double kFirstEventMultiple = 4;
 /// Delay until a silent attempt that could not be replaced is checked again.
 constexpr Duration kSilenceRecheckDelay = std::chrono::milliseconds(200);
-/// Time within which an endpoint refuses a request that it has no place for.
-/// Two endpoints may work on a stream for 400 ms.
-constexpr Duration kRefusalTimeout = std::chrono::milliseconds(250);
 /// Timeout for the gap between two events of a stream, as a share of its goal,
 /// when the next attempt would be the last one, whose failure would break off
 /// the caller's stream.
@@ -107,16 +104,18 @@
     aTime);
 }
 
-/// Ends the attempts that wait for aAttempt, which has taken the request over.
-void Exchange::EndReplaced(const Attempt& aAttempt)
+/// Ends all other attempts, as the endpoint of aAttempt has begun the stream.
+void Exchange::TakeOver(const Attempt& aAttempt)
 {
-  for (Attempt& silent : mAttempts) {
-    if (silent.mReplacement == &aAttempt && !silent.mIsOver) {
-      mAttemptTrace += " [" + silent.mEndpoint->mRecord.mId + " silent]";
-      silent.mCall->Cancel();
-      CloseAttempt(silent, AttemptEnd::TimedOut);
+  for (Attempt& other : mAttempts) {
+    if (&other == &aAttempt || other.mIsOver || !other.mIsSilent) {
+      continue;
     }
+    mAttemptTrace += " [" + other.mEndpoint->mRecord.mId + " silent]";
+    other.mCall->Cancel();
+    CloseAttempt(other, AttemptEnd::TimedOut);
   }
+  CancelOthers(&aAttempt);
 }
 
 void Exchange::OnSilence(Attempt& aAttempt)
@@ -126,12 +125,16 @@
     //       again when it reads on.
     return;
   }
-  if (aAttempt.mReplacement != nullptr) {
-    if (aAttempt.mReplacement->mCall->WasWritten()) {
-      EndReplaced(*aAttempt.mReplacement);
-    } else {
-      ArmSilenceTimer(aAttempt, kSilenceRecheckDelay);
-    }
+  const bool isReplaced =
+    aAttempt.mIsSilent &&
+    std::any_of(mAttempts.begin(),
+                mAttempts.end(),
+                [&aAttempt](const Attempt& aOther) {
+                  return !aOther.mIsOver &&
+                         aOther.mStartedAt > aAttempt.mStartedAt;
+                });
+  if (isReplaced) {
+    ArmSilenceTimer(aAttempt, kSilenceRecheckDelay);
     return;
   }
   if (!MayAttemptAgain()) {
@@ -163,11 +166,11 @@
                          { { "pool", mPool } });
   StartAttempt(selection);
   if (mRoute->mKind == RequestKind::Stream) {
-    // NOTE: Two endpoints must not run a stream for long, but the other one may
-    //       refuse it, and the silent one go on.
+    // NOTE: The other endpoint may refuse the stream at any time until it has
+    //       begun it, and the silent one go on.
     mMayHaveRun = true;
-    aAttempt.mReplacement = &mAttempts.back();
-    ArmSilenceTimer(aAttempt, kRefusalTimeout);
+    aAttempt.mIsSilent = true;
+    ArmSilenceTimer(aAttempt, kSilenceRecheckDelay);
   } else {
     mAttemptTrace += " [" + aAttempt.mEndpoint->mRecord.mId + " silent]";
   }
@@ -216,7 +219,7 @@
                        !aAttempt.mResponseInfo.mIsOtherThanEvents &&
                        MayHaveBody(aHead, mSession->OpenRequest().method());
   if (aAttempt.mIsStream) {
-    EndReplaced(aAttempt);
+    TakeOver(aAttempt);
   }
   const bool mayEscalate = aAttempt.mIsStream && !mIsStreaming &&
                            aAttempt.mResponseInfo.mConfidence &&
@@ -321,12 +324,6 @@
   }
   aAttempt.mIsOver = true;
   aAttempt.mSilenceTimer.reset();
-  for (Attempt& silent : mAttempts) {
-    if (silent.mReplacement == &aAttempt && !silent.mIsOver) {
-      silent.mReplacement = nullptr;
-      ArmSilenceTimer(silent, kSilenceRecheckDelay);
-    }
-  }
   const TimePoint now = MonotonicNow();
   AttemptOutcome outcome;
   outcome.mFailed =
--- a/Libraries/LibRelay/ExchangeStreams.cpp
+++ b/Libraries/LibRelay/ExchangeStreams.cpp
@@ -111,7 +111,8 @@
     ForwardComments(aAttempt, text);
     return;
   }
-  if (aAttempt.mReplacement != nullptr) {
+  if (aAttempt.mIsSilent) {
+    aAttempt.mIsSilent = false;
     CancelOthers(&aAttempt);
   }
   text.insert(0, std::exchange(aAttempt.mHeldComments, {}));
