--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -100,6 +100,7 @@
   Send(RequestText("/stream/x", "second"));
   ReadUntil([] { return false; });
   CHECK(mEnd == asio::error::eof);
+  CHECK_FALSE(HasReceived("HTTP/1.1 503"));
   LONGS_EQUAL(1, engine.mArrivals.size());
   mSocket.close();
   mFixture.RunUntil([&isStopped] { return isStopped; });
