Give each test process addresses of its own for VMs

Cause: UnusedAddress took ports of 127.0.0.1 from an offset that was the process id, so that two test processes with neighbouring ids took the same ones. A VM then heard the settings of another test's VM. Now the address follows from the process id.

--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -22,6 +22,10 @@
 /// Ports below those that the kernel gives to outgoing connections.
 constexpr unsigned kFirstTestPort = 20000;
 constexpr unsigned kTestPorts = 8000;
+/// 127.64.0.0, the first of the addresses for processes of tests, and as many
+/// bits as process ids have.
+constexpr unsigned kFirstTestHost = 0x7f400000;
+constexpr unsigned kTestHostMask = 0x3fffff;
 
 std::string EventText(int aId)
 {
@@ -290,7 +294,11 @@
 std::string PlatformFixture::UnusedAddress()
 {
   namespace asio = boost::asio;
-  static unsigned sOffset = static_cast<unsigned>(::getpid()) % kTestPorts;
+  // NOTE: An address of the loopback network for each process. Otherwise a VM of
+  //       another test that runs beside this one might listen there.
+  const auto host = asio::ip::make_address_v4(
+    kFirstTestHost + (static_cast<unsigned>(::getpid()) & kTestHostMask));
+  static unsigned sOffset = 0;
   for (unsigned attempt = 0; attempt < kTestPorts; ++attempt) {
     sOffset = (sOffset + 1) % kTestPorts;
     const auto port = static_cast<std::uint16_t>(kFirstTestPort + sOffset);
