Keep the process running when an assertion of Boost does not hold

A caller or an endpoint ended the VM's process, and all requests in it, by an empty body in chunks whose end arrived in parts: "0\r\n", "\r", "\n". Found by fuzzing.

Cause: an assertion of Beast 1.74 takes that for impossible, which it is not, and the program is built with assertions. Now a handler of LibCore logs what does not hold, and the process goes on as in builds without assertions.

OutsideBytes.TheEndOfABodyInChunksMayArriveInParts ended the test's process before and passes, as does the new test for responses.

--- a/Meta/Acaciavale.cmake
+++ b/Meta/Acaciavale.cmake
@@ -14,6 +14,9 @@
 
 add_compile_options(-Wall -Wextra -Werror -Wno-psabi)
 add_compile_definitions(BOOST_LOG_DYN_LINK)
+# LibCore handles assertions of Boost that do not hold. Otherwise they would end
+# the process.
+add_compile_definitions(BOOST_ENABLE_ASSERT_HANDLER)
 # A linked but unused shared library would cost time and memory at each start.
 add_link_options(-Wl,--as-needed)
 
--- a/Tests/LibRelay/TestOutsideBytes.cpp
+++ b/Tests/LibRelay/TestOutsideBytes.cpp
@@ -1,5 +1,6 @@
 #include <Acaciavale/LibRelay/ClientSession.h>
 #include <Acaciavale/LibRelay/OutboundCall.h>
+#include <LibRelay/SocketOptions.h>
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -61,6 +62,24 @@
                       [this] { return mBounds; },
                       [] { return false; } } };
 
+  /// Sends the parts on a connection of their own, each when the one before has
+  /// been read. Returns the first line that comes back.
+  std::string StatusLineOfParts(const std::vector<std::string>& aParts)
+  {
+    asio::ip::tcp::socket socket(mLoop);
+    socket.connect(*ParseAddress(mServer.Address()));
+    for (const std::string& part : aParts) {
+      asio::write(socket, asio::buffer(part));
+      mLoop.restart();
+      mLoop.run_for(std::chrono::milliseconds(20));
+    }
+    std::string text(std::string_view("HTTP/1.1 200 OK").size(), ' ');
+    boost::system::error_code failure;
+    socket.non_blocking(true);
+    const std::size_t size = socket.read_some(asio::buffer(text), failure);
+    return text.substr(0, size);
+  }
+
   /// Sends the bytes on a connection of their own. Returns the first line that
   /// comes back; empty if the connection was closed without an answer.
   std::string StatusLineOf(const std::string& aBytes)
@@ -145,6 +164,48 @@
   CheckIsServed(PostWithTrailer(Field(kMediumFieldBytes)), kMediumFieldBytes);
 }
 
+/// An assertion of the HTTP library takes these parts for impossible.
+TEST(OutsideBytes, TheEndOfABodyInChunksMayArriveInParts)
+{
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  STRCMP_EQUAL("HTTP/1.1 200 OK",
+               StatusLineOfParts({ head + "0\r\n", "\r", "\n" }).c_str());
+  STRCMP_EQUAL("HTTP/1.1 200 OK",
+               StatusLineOfParts({ head, "0", "\r", "\n", "\r", "\n" }).c_str());
+}
+
+TEST(OutsideBytes, TheEndOfAResponseInChunksMayArriveInParts)
+{
+  asio::ip::tcp::acceptor acceptor(mLoop,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  std::optional<CallResult> end;
+  CallOptions options;
+  options.mAddress =
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  options.mConnectTimeout = kTimeout;
+  options.mHead.version(11);
+  options.mHead.method_string("GET");
+  options.mHead.target("/");
+  CallHandlers handlers;
+  handlers.mOnHead = [](const ResponseHead&) {};
+  handlers.mOnBody = [](std::string_view) {};
+  handlers.mOnEnd = [&end](CallResult aResult) { end = aResult; };
+  const auto call =
+    OutboundCall::Start(mLoop, std::move(options), std::move(handlers));
+  asio::ip::tcp::socket peer = acceptor.accept();
+  for (const std::string part :
+       { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "0\r\n",
+         "\r",
+         "\n" }) {
+    asio::write(peer, asio::buffer(part));
+    mLoop.restart();
+    mLoop.run_for(std::chrono::milliseconds(20));
+  }
+  CHECK(end == CallResult::Complete);
+}
+
 TEST(OutsideBytes, AnExceptionOfARequestClosesItsConnection)
 {
   mOnRequest = [] { throw std::length_error("test"); };
