--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -237,15 +237,15 @@
                                   const std::vector<std::string>& aApiKeys,
                                   int aAdditionalRoutes)
 {
-  const auto route = [](const std::string& aName,
-                        const std::string& aKind,
-                        const std::string& aPool) {
+  const auto route = [this](const std::string& aName,
+                            const std::string& aKind,
+                            const std::string& aPool) {
     return Json{ { "name", aName },
                  { "host", "a.example" },
                  { "path-prefix", "/" + aName + "/" },
                  { "route-kind", aKind },
-                 { "timeout-ms", 5000 },
-                 { "goal-ms", 400 },
+                 { "timeout-ms", mRouteTimeoutMs },
+                 { "goal-ms", mRouteGoalMs },
                  { "priority", 0 },
                  { "service", aPool },
                  { "max-attempts", 3 },
--- a/Tests/Platform/StandInPlatform.h
+++ b/Tests/Platform/StandInPlatform.h
@@ -236,6 +236,9 @@
   boost::asio::io_context mIoContext{ 1 };
   Store mStore;
   NodeConfig mConfig;
+  /// Time limit of most routes, and goal of all, in the settings that are put.
+  int mRouteTimeoutMs = 5000;
+  int mRouteGoalMs = 400;
   std::unique_ptr<Node> mNode;
   std::vector<std::unique_ptr<Replica>> mReplicas;
 };
--- a/Tests/Platform/TestLeavingEndpoint.cpp
+++ b/Tests/Platform/TestLeavingEndpoint.cpp
@@ -144,7 +144,8 @@
   while (leaves.mHeldSessions.empty() || responses.size() < 6) {
     responses.push_back(
       StartRequest("/stream/x", static_cast<int>(responses.size())));
-    mFixture.RunFor(std::chrono::milliseconds(20));
+    mFixture.RunUntil(
+      [&responses] { return !responses.back()->mBody.empty(); });
   }
   UNSIGNED_LONGS_EQUAL(1, leaves.mArrivals.size());
   UNSIGNED_LONGS_EQUAL(responses.size() - 1, stays.mArrivals.size());
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
+#include <valgrind/valgrind.h>
 
 using namespace Acaciavale;
 using namespace Acaciavale::Platform;
@@ -9,12 +10,23 @@
 
 namespace {
 
-/// Depth at which code that descends recursively runs out of stack.
-constexpr std::size_t kDeep = 100'000;
+/// Depth at which code that descends recursively runs out of stack. valgrind runs
+/// the VMs and the store some twenty times slower, in the time that they have
+/// for changes of the settings, and reports invalid accesses at any depth.
+std::size_t GreatDepth()
+{
+  return RUNNING_ON_VALGRIND != 0 ? 5'000 : 100'000;
+}
+
+/// Of how many odd entries one is read by several VMs.
+std::size_t EntriesPerTested(int aVms)
+{
+  return RUNNING_ON_VALGRIND != 0 && aVms > 1 ? 4 : 1;
+}
 
 std::string Nested(const std::string& aOpening,
                    const std::string& aClosing,
-                   std::size_t aDepth = kDeep)
+                   std::size_t aDepth = GreatDepth())
 {
   std::string text;
   for (std::size_t depth = 0; depth < aDepth; ++depth) {
@@ -110,7 +122,7 @@
                    "\"text\"",
                    "17",
                    Nested("[", "]"),
-                   Nested("{\"a\":", "}", 10'000) });
+                   Nested("{\"a\":", "}", GreatDepth() / 10) });
   const auto add = [&](const std::string& aField,
                        const std::vector<std::string>& aValues) {
     for (const std::string& value : aValues) {
@@ -210,7 +222,7 @@
 {
   PlatformFixture mFixture;
   std::vector<std::unique_ptr<Platform::Node>> mOtherNodes;
-  int mOddEntries = 0;
+  std::size_t mOddEntries = 0;
 
   void setup() override
   {
@@ -219,12 +231,15 @@
     mFixture.AddEndpoint("desk", "i-2", RespondWith("leaves"));
   }
 
-  void PutOddEntries(const EntryKind& aKind)
+  void PutOddEntries(const EntryKind& aKind, int aVms)
   {
-    for (const std::string& entry : OddEntries(aKind)) {
+    const std::vector<std::string> entries = OddEntries(aKind);
+    const std::size_t step = EntriesPerTested(aVms);
+    for (std::size_t entry = mOddEntries % step; entry < entries.size();
+         entry += step) {
       ++mOddEntries;
       mFixture.mStore.Put(aKind.mPrefix + "a" + std::to_string(mOddEntries),
-                          entry);
+                          entries[entry]);
     }
     // Keys of odd form, with values that are odd too.
     for (const std::string& key :
@@ -281,12 +296,12 @@
   void CheckKinds(const std::vector<EntryKind>& aKinds, int aVms)
   {
     for (const EntryKind& kind : aKinds) {
-      PutOddEntries(kind);
+      PutOddEntries(kind, aVms);
     }
     Start(aVms);
     CheckIsFollowed(2);
     for (const EntryKind& kind : aKinds) {
-      PutOddEntries(kind);
+      PutOddEntries(kind, aVms);
     }
     mFixture.RunFor(std::chrono::seconds(1));
     CheckIsFollowed(3);
--- a/Tests/Platform/TestPausedReader.cpp
+++ b/Tests/Platform/TestPausedReader.cpp
@@ -85,6 +85,9 @@
 /// The endpoint is not silent while the VM does not read from it.
 TEST(PausedReader, GetsTheWholeStreamOfOneEndpoint)
 {
+  // NOTE: The subject is the pause, not how fast 16 MB are sent.
+  mFixture.mRouteTimeoutMs = 30000;
+  mFixture.mRouteGoalMs = 10000;
   mFixture.PutSettings(1);
   const Replica::Script script = [](Replica& aSelf, const auto& aSession) {
     aSession->BeginStream(aSelf.SuccessHead(*aSession));
