Search many repetitions of a response without recursion

An endpoint that repeats its response's head in a body without a length ended the VM's process by its memory: 8 MB of heads killed a test's process after 21 s. A huge stated length threw std::bad_alloc, and the request waited for its deadline.

Cause: the search for a second response searched its body for a third one by itself, on a copy, and so on; and the body reserved what the head stated.

--- a/Libraries/LibRelay/SecondResponse.cpp
+++ b/Libraries/LibRelay/SecondResponse.cpp
@@ -4,8 +4,9 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/dynamic_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cctype>
 #include <limits>
@@ -91,29 +92,76 @@
   return true;
 }
 
-SecondResponse ParseSecond(std::string_view aBytes,
-                           std::size_t aOffset,
-                           const IsHeadOfRequest& aIsHeadOfRequest)
+/// A head within bytes, or the beginning of one that the end of the bytes cuts
+/// off.
+struct FoundHead
 {
-  BoundedParser<false, http::string_body> parser(kMaximumHeadBytes);
-  ParseAll(parser, aBytes.substr(aOffset));
-  SecondResponse second;
-  second.mOffset = aOffset;
-  second.mHead = parser.get().base();
-  if (const auto length = parser.content_length()) {
-    second.mStatedLength = *length;
+  std::size_t mBegin = 0;
+  std::size_t mEnd = 0;
+  bool mIsCutOff = false;
+};
+
+/// Finds the first response to the request.
+std::optional<FoundHead> FindHead(std::string_view aBytes,
+                                  const ResponseHead& aHead,
+                                  const IsHeadOfRequest& aIsHeadOfRequest)
+{
+  std::size_t end = 0;
+  std::size_t parsedBytes = 0;
+  for (std::size_t at = aBytes.find(kProtocol);
+       at != std::string_view::npos && parsedBytes < kMaximumParsedBytes;
+       at = aBytes.find(kProtocol, at + 1)) {
+    const std::string_view rest = aBytes.substr(at);
+    if (!BeginsWithStatus(rest)) {
+      continue;
+    }
+    if (end <= at) {
+      end = aBytes.find(kEndOfHead, at);
+    }
+    if (end == std::string_view::npos) {
+      if (rest.size() < kMaximumHeadBytes && IsBeginningOf(aHead, rest)) {
+        return FoundHead{ at, aBytes.size(), true };
+      }
+      continue;
+    }
+    const std::size_t size = end + kEndOfHead.size() - at;
+    if (size > kMaximumHeadBytes) {
+      continue;
+    }
+    parsedBytes += size;
+    const auto head = ParseHead(rest.substr(0, size));
+    if (head && aIsHeadOfRequest(*head)) {
+      return FoundHead{ at, at + size, false };
+    }
   }
-  second.mBody = std::move(parser.get().body());
-  if (parser.chunked() && parser.is_done()) {
-    second.mStatedLength = second.mBody.size();
+  return std::nullopt;
+}
+
+/// Sets the body of the response, of which aBytes were received.
+void ReadBody(SecondResponse& aSecond,
+              std::string_view aBytes,
+              std::size_t aHeadBytes,
+              const IsHeadOfRequest& aIsHeadOfRequest)
+{
+  // NOTE: This body reserves nothing for a length that the head states.
+  BoundedParser<false, http::basic_dynamic_body<boost::beast::flat_buffer>>
+    parser(kMaximumHeadBytes);
+  ParseAll(parser, aBytes);
+  aSecond.mHead = parser.get().base();
+  if (const auto length = parser.content_length()) {
+    aSecond.mStatedLength = *length;
   }
   if (parser.need_eof()) {
-    if (const auto third =
-          FindSecondResponse(second.mBody, *second.mHead, aIsHeadOfRequest)) {
-      second.mBody.resize(third->mOffset);
-    }
+    const std::string_view rest = aBytes.substr(aHeadBytes);
+    const auto third = FindHead(rest, *aSecond.mHead, aIsHeadOfRequest);
+    aSecond.mBody = std::string(rest.substr(0, third ? third->mBegin : rest.size()));
+    return;
+  }
+  const auto body = parser.get().body().cdata();
+  aSecond.mBody.assign(static_cast<const char*>(body.data()), body.size());
+  if (parser.chunked() && parser.is_done()) {
+    aSecond.mStatedLength = aSecond.mBody.size();
   }
-  return second;
 }
 
 } // namespace
@@ -141,37 +189,19 @@
   const ResponseHead& aHead,
   const IsHeadOfRequest& aIsHeadOfRequest)
 {
-  std::size_t end = 0;
-  std::size_t parsedBytes = 0;
-  for (std::size_t at = aBytes.find(kProtocol);
-       at != std::string_view::npos && parsedBytes < kMaximumParsedBytes;
-       at = aBytes.find(kProtocol, at + 1)) {
-    const std::string_view rest = aBytes.substr(at);
-    if (!BeginsWithStatus(rest)) {
-      continue;
-    }
-    if (end <= at) {
-      end = aBytes.find(kEndOfHead, at);
-    }
-    if (end == std::string_view::npos) {
-      if (rest.size() < kMaximumHeadBytes && IsBeginningOf(aHead, rest)) {
-        SecondResponse cutOff;
-        cutOff.mOffset = at;
-        return cutOff;
-      }
-      continue;
-    }
-    const std::size_t size = end + kEndOfHead.size() - at;
-    if (size > kMaximumHeadBytes) {
-      continue;
-    }
-    parsedBytes += size;
-    const auto head = ParseHead(rest.substr(0, size));
-    if (head && aIsHeadOfRequest(*head)) {
-      return ParseSecond(aBytes, at, aIsHeadOfRequest);
-    }
+  const auto found = FindHead(aBytes, aHead, aIsHeadOfRequest);
+  if (!found) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  SecondResponse second;
+  second.mOffset = found->mBegin;
+  if (!found->mIsCutOff) {
+    ReadBody(second,
+             aBytes.substr(found->mBegin),
+             found->mEnd - found->mBegin,
+             aIsHeadOfRequest);
+  }
+  return second;
 }
 
 FirstResponse CompareResponses(std::string_view aFirstBody,
--- a/Tests/LibRelay/TestSecondResponse.cpp
+++ b/Tests/LibRelay/TestSecondResponse.cpp
@@ -1,3 +1,4 @@
+#include <Acaciavale/LibCore/Time.h>
 #include <Acaciavale/LibRelay/SecondResponse.h>
 
 #include <CppUTest/TestHarness.h>
@@ -117,3 +118,28 @@
   }
   STRCMP_EQUAL("none", Judge(body).c_str());
 }
+
+/// An endpoint that stutters without end.
+TEST(FindSecondResponse, ManyRepetitionsAreSearchedInBoundedTime)
+{
+  std::string bytes = "first";
+  while (bytes.size() < (std::size_t{ 8 } << 20)) {
+    bytes += HeadText();
+  }
+  const Acaciavale::TimePoint before = Acaciavale::MonotonicNow();
+  const auto second = Find(bytes);
+  CHECK(second.has_value());
+  UNSIGNED_LONGS_EQUAL(5, second->mOffset);
+  UNSIGNED_LONGS_EQUAL(0, second->mBody.size());
+  CHECK(Acaciavale::MonotonicNow() - before < std::chrono::seconds(1));
+}
+
+/// No memory is that large.
+TEST(FindSecondResponse, AHugeLengthIsNotReserved)
+{
+  const auto second =
+    Find("first" + HeadText("7", "Content-Length: 9223372036854775807\r\n") +
+         "second");
+  CHECK(second.has_value());
+  STRCMP_EQUAL("second", second->mBody.c_str());
+}
