--- a/Tests/Platform/TestEndToEnd.cpp
+++ b/Tests/Platform/TestEndToEnd.cpp
@@ -192,6 +192,23 @@
   }
 }
 
+/// Numbers at the end of their type, which become others when they are scaled.
+TEST(EndToEnd, ServesRequestsWhoseHeadersStateExtremeNumbers)
+{
+  mFixture.PutSettings(1);
+  mFixture.AddEndpoint("desk", "i-1", RespondWith("answer"));
+  mFixture.StartNode();
+  const std::string most = "9223372036854775807";
+  const Response response =
+    mFixture.Call({ "POST",
+                    "/once/x",
+                    "body",
+                    { { "Deadline-Ms", most },
+                      { "Token-Usage", most + "," + most },
+                      { "Prompt-Prefix", "a:" + most + ",b:" + most + ",c:1" } } });
+  LONGS_EQUAL(200, response.mHead.result_int());
+}
+
 TEST(EndToEnd, RejectsASuccessWithoutAReplicaStamp)
 {
   mFixture.PutSettings(1);
