--- a/Tests/Platform/TestNodeConfig.cpp
+++ b/Tests/Platform/TestNodeConfig.cpp
@@ -64,6 +64,28 @@
   CHECK(all.find("bounds.stop-s is \"soon\"") != std::string::npos);
 }
 
+TEST(NodeConfig, ReportsNumbersOutOfRange)
+{
+  for (const char* value : { "-1", "1e300", "nan", "inf" }) {
+    const std::string text = std::regex_replace(
+      mText, std::regex("memory-mb = [^\n]*"), std::string("memory-mb = ") + value);
+    const NodeConfigResult result = ParseNodeConfig("node.ini", text);
+    UNSIGNED_LONGS_EQUAL(1, result.mFindings.size());
+  }
+}
+
+/// The platform may not know the value.
+TEST(NodeConfig, TheMemoryMayBeLeftOut)
+{
+  for (const char* line : { "", "memory-mb =", "memory-mb = {{limits}}" }) {
+    const std::string text =
+      std::regex_replace(mText, std::regex("memory-mb = [^\n]*"), line);
+    const NodeConfigResult result = ParseNodeConfig("node.ini", text);
+    CHECK(result.mConfig.has_value());
+    UNSIGNED_LONGS_EQUAL(NodeConfig().mMemoryBytes, result.mConfig->mMemoryBytes);
+  }
+}
+
 TEST(NodeConfig, IgnoresUnknownKeys)
 {
   mText += "\n[later]\nnew-field = 7\n";
