--- a/Meta/Acaciavale.cmake
+++ b/Meta/Acaciavale.cmake
@@ -13,6 +13,12 @@
 find_package(Boost 1.74 REQUIRED COMPONENTS log log_setup thread filesystem)
 
 add_compile_options(-Wall -Wextra -Werror -Wno-psabi)
+if(ACACIAVALE_SANITIZE)
+  # NOTE: With sanitizers, g++ 12 takes members of Beast for uninitialized.
+  add_compile_options(-O1 -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all
+    -Wno-maybe-uninitialized)
+  add_link_options(-fsanitize=address,undefined,float-cast-overflow)
+endif()
 add_compile_definitions(BOOST_LOG_DYN_LINK)
 # LibCore handles assertions of Boost that do not hold. Otherwise they would end
 # the process.
