--- a/Libraries/LibCore/Assertions.cpp
+++ b/Libraries/LibCore/Assertions.cpp
@@ -3,8 +3,8 @@
 #include <boost/assert.hpp>
 #include <string>
 
-/// What follows an assertion of Boost that does not hold. The process goes on, as
-/// in builds without assertions: it serves others as well, and not all
+/// What follows an assertion of Boost that does not hold. The process goes on,
+/// as in builds without assertions: it serves others as well, and not all
 /// assertions are right (the parser of Beast 1.74 takes the end of a body that
 /// arrives in parts for impossible).
 namespace boost {
--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -30,8 +30,8 @@
 /// yet.
 constexpr std::size_t kMaximumUnparsedBytes = 64U << 10;
 
-/// Capacity of the buffer for received bytes that a connection keeps while it is
-/// idle.
+/// Capacity of the buffer for received bytes that a connection keeps while it
+/// is idle.
 constexpr std::size_t kIdleBufferBytes = 4U << 10;
 
 /// Maximum size of a body that is copied to be sent with its head at once.
@@ -199,13 +199,14 @@
   const std::shared_ptr<ClientSession>& aSelf)
 {
   const auto length = mParser->content_length();
-  std::size_t bytes =
-    length ? static_cast<std::size_t>(*length) : mParser->get().body().capacity();
+  std::size_t bytes = length ? static_cast<std::size_t>(*length)
+                             : mParser->get().body().capacity();
   if (bytes > kCopiedBodyBytes) {
     bytes += kMaximumUnparsedBytes;
   }
-  const bool isHeld = !mHooks->mHoldBody ||
-                      mHooks->mHoldBody(mParser->get().base(), mBodyHold, bytes);
+  const bool isHeld =
+    !mHooks->mHoldBody ||
+    mHooks->mHoldBody(mParser->get().base(), mBodyHold, bytes);
   if (!isHeld) {
     RefuseIncomplete(aSelf, http::status::service_unavailable);
     mParser.reset();
@@ -415,8 +416,8 @@
   Discard(aSelf, std::make_shared<DiscardBuffer>());
 }
 
-/// Reads the rest of a refused request. A read of the request itself may not have
-/// ended yet, so its buffer is not used.
+/// Reads the rest of a refused request. A read of the request itself may not
+/// have ended yet, so its buffer is not used.
 void ClientSession::Private::Discard(
   const std::shared_ptr<ClientSession>& aSelf,
   const std::shared_ptr<DiscardBuffer>& aBuffer)
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -142,12 +142,10 @@
   }
   const bool isReplaced =
     aAttempt.mIsSilent &&
-    std::any_of(mAttempts.begin(),
-                mAttempts.end(),
-                [&aAttempt](const Attempt& aOther) {
-                  return !aOther.mIsOver &&
-                         aOther.mStartedAt > aAttempt.mStartedAt;
-                });
+    std::any_of(
+      mAttempts.begin(), mAttempts.end(), [&aAttempt](const Attempt& aOther) {
+        return !aOther.mIsOver && aOther.mStartedAt > aAttempt.mStartedAt;
+      });
   if (isReplaced) {
     ArmSilenceTimer(aAttempt, kSilenceRecheckDelay);
     return;
--- a/Libraries/LibRelay/ExchangeStop.cpp
+++ b/Libraries/LibRelay/ExchangeStop.cpp
@@ -17,8 +17,8 @@
   return !CanEndBeforeCut(request);
 }
 
-/// Ends a request instead of an attempt that the stop would cut. Returns whether
-/// it did. A stream that has begun goes on as far as it gets.
+/// Ends a request instead of an attempt that the stop would cut. Returns
+/// whether it did. A stream that has begun goes on as far as it gets.
 bool Exchange::RefuseLate()
 {
   if (mIsStreaming || !IsCutByStop()) {
--- a/Libraries/LibRelay/Listener.cpp
+++ b/Libraries/LibRelay/Listener.cpp
@@ -147,8 +147,8 @@
   const auto sessions = mPrivate->mSessions;
   for (const auto& session : sessions) {
     if (session->mPrivate->mPhase == ClientSession::Private::Phase::Reading) {
-      session->mPrivate->RefuseIncomplete(
-        session, http::status::service_unavailable);
+      session->mPrivate->RefuseIncomplete(session,
+                                          http::status::service_unavailable);
     }
   }
 }
--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -186,11 +186,10 @@
   mWasWritten = true;
   // NOTE: An endpoint may respond before it has read the body, so reading
   //       starts at once. A failed write leads to an error of the read.
-  http::async_write(
-    mSocket, mRequest, [aSelf](const error_code&, std::size_t) {
-      aSelf->mPrivate->mRequest.body() = {};
-      aSelf->mPrivate->mBody.reset();
-    });
+  http::async_write(mSocket, mRequest, [aSelf](const error_code&, std::size_t) {
+    aSelf->mPrivate->mRequest.body() = {};
+    aSelf->mPrivate->mBody.reset();
+  });
   ReadHead(aSelf);
 }
 
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -48,8 +48,7 @@
                     kMaximumUnwrittenBytes);
 }
 
-std::optional<Duration> RelayState::LongestExpectedOf(
-  const Route& aRoute) const
+std::optional<Duration> RelayState::LongestExpectedOf(const Route& aRoute) const
 {
   const TimePoint now = MonotonicNow();
   const auto summaryOf = [&](const std::string& aName) {
@@ -284,9 +283,8 @@
     const Route* const route =
       FindRoute(settings, request.mHost, request.mPath);
     demand.mAccount = account == nullptr ? "" : account->mName;
-    demand.mUrgency = route == nullptr
-                        ? kLowestUrgency
-                        : UrgencyOf(settings, account, *route);
+    demand.mUrgency =
+      route == nullptr ? kLowestUrgency : UrgencyOf(settings, account, *route);
   }
   if (mState->mBudget->TryHoldBody(aHold, demand)) {
     return true;
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -41,7 +41,8 @@
     , mOptions(std::move(aOptions))
     , mRandom(EntropySeed())
     , mTrialJitter(mRandom.Unit())
-    , mBudget(std::make_shared<ByteBudget>(HeldBytesLimit(mOptions.mMemoryBytes)))
+    , mBudget(
+        std::make_shared<ByteBudget>(HeldBytesLimit(mOptions.mMemoryBytes)))
   {
   }
 
@@ -75,7 +76,7 @@
   bool mSnapshotFailed = false; ///< Whether the latest read failed.
   bool mHasFleetView = false;   ///< Whether any view has been applied.
   std::optional<PlannedStop> mPlannedStop;
-  std::set<Exchange*> mExchanges; ///< All that exist.
+  std::set<Exchange*> mExchanges;                    ///< All that exist.
   std::map<std::string, RecentDurations> mDurations; ///< By route.
   Metrics mMetrics;
   /// Exchanges that wait for the next view of the fleet.
--- a/Libraries/LibRelay/SecondResponse.cpp
+++ b/Libraries/LibRelay/SecondResponse.cpp
@@ -154,7 +154,8 @@
   if (parser.need_eof()) {
     const std::string_view rest = aBytes.substr(aHeadBytes);
     const auto third = FindHead(rest, *aSecond.mHead, aIsHeadOfRequest);
-    aSecond.mBody = std::string(rest.substr(0, third ? third->mBegin : rest.size()));
+    aSecond.mBody =
+      std::string(rest.substr(0, third ? third->mBegin : rest.size()));
     return;
   }
   const auto body = parser.get().body().cdata();
--- a/Tests/LibRelay/TestByteBudget.cpp
+++ b/Tests/LibRelay/TestByteBudget.cpp
@@ -144,10 +144,10 @@
         ++ended;
         continue;
       }
-      waits[index] = !mBudget->TryHoldResponse(
-        holds[index], holds[index].Bytes() + kMegabyte, [&waits, index] {
-          waits[index] = false;
-        });
+      waits[index] =
+        !mBudget->TryHoldResponse(holds[index],
+                                  holds[index].Bytes() + kMegabyte,
+                                  [&waits, index] { waits[index] = false; });
       most = std::max(most, mBudget->HeldBytes());
     }
     mBudget->ServeWaiting();
--- a/Tests/LibRelay/TestOutsideBytes.cpp
+++ b/Tests/LibRelay/TestOutsideBytes.cpp
@@ -171,8 +171,9 @@
     "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
   STRCMP_EQUAL("HTTP/1.1 200 OK",
                StatusLineOfParts({ head + "0\r\n", "\r", "\n" }).c_str());
-  STRCMP_EQUAL("HTTP/1.1 200 OK",
-               StatusLineOfParts({ head, "0", "\r", "\n", "\r", "\n" }).c_str());
+  STRCMP_EQUAL(
+    "HTTP/1.1 200 OK",
+    StatusLineOfParts({ head, "0", "\r", "\n", "\r", "\n" }).c_str());
 }
 
 TEST(OutsideBytes, TheEndOfAResponseInChunksMayArriveInParts)
--- a/Tests/Platform/StandInPlatform.cpp
+++ b/Tests/Platform/StandInPlatform.cpp
@@ -294,7 +294,8 @@
 std::string PlatformFixture::UnusedAddress()
 {
   namespace asio = boost::asio;
-  // NOTE: An address of the loopback network for each process. Otherwise a VM of
+  // NOTE: An address of the loopback network for each process. Otherwise a VM
+  // of
   //       another test that runs beside this one might listen there.
   const auto host = asio::ip::make_address_v4(
     kFirstTestHost + (static_cast<unsigned>(::getpid()) & kTestHostMask));
--- a/Tests/Platform/TestCutOffHead.cpp
+++ b/Tests/Platform/TestCutOffHead.cpp
@@ -43,7 +43,8 @@
   /// Calls with each place and each way to end the connection.
   void CheckAllPlaces(const std::function<void()>& aCheck)
   {
-    for (const auto end : { RawEndpoint::End::Close, RawEndpoint::End::Reset }) {
+    for (const auto end :
+         { RawEndpoint::End::Close, RawEndpoint::End::Reset }) {
       mEnd = end;
       for (mBytes = 0; mBytes < mHead.size(); mBytes += kStep) {
         mEndpoint->ForgetArrivals();
@@ -55,9 +56,9 @@
   /// The result of a call of the store, of which mBytes of the head arrive.
   template<typename Value>
   bool FailsOnAllPlaces(
-    const std::function<void(StoreClient&,
-                             const std::string&,
-                             const StoreClient::Callback<Value>&)>& aCall,
+    const std::function<void(
+      StoreClient&, const std::string&, const StoreClient::Callback<Value>&)>&
+      aCall,
     const std::string& aBody)
   {
     const std::string text = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
@@ -108,9 +109,8 @@
 {
   mHead = RawHead("HTTP/1.1 503 Service Unavailable", "Not-Executed: 1\r\n");
   StartCutOff("desk");
-  CheckAllPlaces([this] {
-    LONGS_EQUAL(502, CallUntilUsed("/once/x").mHead.result_int());
-  });
+  CheckAllPlaces(
+    [this] { LONGS_EQUAL(502, CallUntilUsed("/once/x").mHead.result_int()); });
 }
 
 TEST(CutOffHead, DoesNotEndAStreamThatIsResumed)
@@ -155,8 +155,9 @@
 TEST(CutOffHead, IsNoSnapshotOfAnotherVm)
 {
   CHECK(FailsOnAllPlaces<SnapshotAnswer>(
-    [](
-      StoreClient& aClient, const std::string& aAddress, const auto& aCallback) {
+    [](StoreClient& aClient,
+       const std::string& aAddress,
+       const auto& aCallback) {
       aClient.QueryPeer(aAddress, SnapshotQuery{}, aCallback);
     },
     EncodeSnapshotAnswer(SnapshotAnswer{})));
--- a/Tests/Platform/TestEndToEnd.cpp
+++ b/Tests/Platform/TestEndToEnd.cpp
@@ -199,13 +199,13 @@
   mFixture.AddEndpoint("desk", "i-1", RespondWith("answer"));
   mFixture.StartNode();
   const std::string most = "9223372036854775807";
-  const Response response =
-    mFixture.Call({ "POST",
-                    "/once/x",
-                    "body",
-                    { { "Deadline-Ms", most },
-                      { "Token-Usage", most + "," + most },
-                      { "Prompt-Prefix", "a:" + most + ",b:" + most + ",c:1" } } });
+  const Response response = mFixture.Call(
+    { "POST",
+      "/once/x",
+      "body",
+      { { "Deadline-Ms", most },
+        { "Token-Usage", most + "," + most },
+        { "Prompt-Prefix", "a:" + most + ",b:" + most + ",c:1" } } });
   LONGS_EQUAL(200, response.mHead.result_int());
 }
 
--- a/Tests/Platform/TestHeldBytes.cpp
+++ b/Tests/Platform/TestHeldBytes.cpp
@@ -120,12 +120,11 @@
 /// Nothing tells how long the answers are before they have ended.
 TEST(HeldBytes, LargeAnswersInChunksWaitForRoomAndAreWhole)
 {
-  mFixture.AddEndpoint(
-    "desk", "i-1", [](Replica& aSelf, const auto& aSession) {
-      aSession->BeginStream(aSelf.SuccessHead(*aSession));
-      aSession->SendChunk(std::string(kAnswerBytes, 'a'));
-      aSession->EndStream();
-    });
+  mFixture.AddEndpoint("desk", "i-1", [](Replica& aSelf, const auto& aSession) {
+    aSession->BeginStream(aSelf.SuccessHead(*aSession));
+    aSession->SendChunk(std::string(kAnswerBytes, 'a'));
+    aSession->EndStream();
+  });
   mFixture.StartNode();
   for (int call = 0; call < kAnswers; ++call) {
     Start("/open/x", 4);
--- a/Tests/Platform/TestLateRequest.cpp
+++ b/Tests/Platform/TestLateRequest.cpp
@@ -77,17 +77,16 @@
   std::shared_ptr<Response> Start(const std::string& aTarget, int& aEnded)
   {
     const auto response = std::make_shared<Response>();
-    mOpenCalls.push_back(
-      mFixture.StartCall({ "POST",
-                           aTarget,
-                           "body",
-                           { { "Key", "key-1" },
-                             { "Deadline-Ms", "4000" },
-                             { "Attempt-Id",
-                               "late-" + std::to_string(++mCalls) } } },
-                         mFixture.mNode->CallerAddress(),
-                         response,
-                         [&aEnded] { ++aEnded; }));
+    mOpenCalls.push_back(mFixture.StartCall(
+      { "POST",
+        aTarget,
+        "body",
+        { { "Key", "key-1" },
+          { "Deadline-Ms", "4000" },
+          { "Attempt-Id", "late-" + std::to_string(++mCalls) } } },
+      mFixture.mNode->CallerAddress(),
+      response,
+      [&aEnded] { ++aEnded; }));
     return response;
   }
 
--- a/Tests/Platform/TestNodeConfig.cpp
+++ b/Tests/Platform/TestNodeConfig.cpp
@@ -67,8 +67,10 @@
 TEST(NodeConfig, ReportsNumbersOutOfRange)
 {
   for (const char* value : { "-1", "1e300", "nan", "inf" }) {
-    const std::string text = std::regex_replace(
-      mText, std::regex("memory-mb = [^\n]*"), std::string("memory-mb = ") + value);
+    const std::string text =
+      std::regex_replace(mText,
+                         std::regex("memory-mb = [^\n]*"),
+                         std::string("memory-mb = ") + value);
     const NodeConfigResult result = ParseNodeConfig("node.ini", text);
     UNSIGNED_LONGS_EQUAL(1, result.mFindings.size());
   }
@@ -82,7 +84,8 @@
       std::regex_replace(mText, std::regex("memory-mb = [^\n]*"), line);
     const NodeConfigResult result = ParseNodeConfig("node.ini", text);
     CHECK(result.mConfig.has_value());
-    UNSIGNED_LONGS_EQUAL(NodeConfig().mMemoryBytes, result.mConfig->mMemoryBytes);
+    UNSIGNED_LONGS_EQUAL(NodeConfig().mMemoryBytes,
+                         result.mConfig->mMemoryBytes);
   }
 }
 
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-/// Depth at which code that descends recursively runs out of stack. valgrind runs
-/// the VMs and the store some twenty times slower, in the time that they have
-/// for changes of the settings, and reports invalid accesses at any depth.
+/// Depth at which code that descends recursively runs out of stack. valgrind
+/// runs the VMs and the store some twenty times slower, in the time that they
+/// have for changes of the settings, and reports invalid accesses at any depth.
 std::size_t GreatDepth()
 {
   return RUNNING_ON_VALGRIND != 0 ? 5'000 : 100'000;
--- a/include/Acaciavale/LibCore/ResponseHeadProgress.h
+++ b/include/Acaciavale/LibCore/ResponseHeadProgress.h
@@ -10,7 +10,8 @@
 
 struct ResponseHeadProgress
 {
-  bool mIsInterim = false; ///< The latest status line is that of a 1xx response.
+  bool mIsInterim =
+    false; ///< The latest status line is that of a 1xx response.
   bool mIsComplete = false; ///< The head of the final response has ended.
 
   auto operator<=>(const ResponseHeadProgress&) const = default;
--- a/include/Acaciavale/LibRelay/ByteBudget.h
+++ b/include/Acaciavale/LibRelay/ByteBudget.h
@@ -17,9 +17,9 @@
 struct BudgetUse
 {
   std::size_t mLimitBytes = 0;
-  std::size_t mHeldBytes = 0;             ///< By requests and responses.
-  std::size_t mHeldForRequestsBytes = 0;  ///< By requests alone.
-  std::size_t mHeldForAccountBytes = 0;   ///< By requests of the account.
+  std::size_t mHeldBytes = 0;            ///< By requests and responses.
+  std::size_t mHeldForRequestsBytes = 0; ///< By requests alone.
+  std::size_t mHeldForAccountBytes = 0;  ///< By requests of the account.
 
   auto operator<=>(const BudgetUse&) const = default;
 };
@@ -102,8 +102,8 @@
                        std::size_t aBytes,
                        std::function<void()> aOnRoom);
 
-  /// Sets a handler that is called when bytes are released while responses wait.
-  /// It must not call ServeWaiting itself, but soon afterwards.
+  /// Sets a handler that is called when bytes are released while responses
+  /// wait. It must not call ServeWaiting itself, but soon afterwards.
   void OnRelease(std::function<void()> aHandler)
   {
     mOnRelease = std::move(aHandler);
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -96,9 +96,9 @@
   /// are still open aOpenTime later will be ended.
   void NotifyStop(Duration aOpenTime);
 
-  /// Ends all open requests, as the VM's process is about to exit. A request that
-  /// was not passed on is refused, a stream is broken off, and all others get a
-  /// response that promises nothing.
+  /// Ends all open requests, as the VM's process is about to exit. A request
+  /// that was not passed on is refused, a stream is broken off, and all others
+  /// get a response that promises nothing.
   void EndOpenRequests();
 
   /// Notifies the relay that the store cannot be read. Until the next view,
