--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -55,6 +55,9 @@
 /// view or because of a stop.
 inline constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
 
+/// Delay until a silent attempt that could not be replaced is checked again.
+inline constexpr Duration kSilenceRecheckDelay = std::chrono::milliseconds(200);
+
 /// Whether only the end of the connection ends the body. An endpoint that ends
 /// then looks like one that has answered.
 bool EndsWithConnection(const ResponseHead& aHead);
@@ -132,10 +135,6 @@
 
   // ExchangeResponses.cpp: handling of the endpoints' responses.
   void OnHead(Attempt& aAttempt, const ResponseHead& aHead);
-  void OnBody(Attempt& aAttempt, std::string_view aBytes);
-  /// Pauses the attempt while there is no room for aBytes of its body. Returns
-  /// whether there is.
-  bool HoldResponse(Attempt& aAttempt, std::size_t aBytes);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
   void OnSilence(Attempt& aAttempt);
   void TakeOver(const Attempt& aAttempt);
@@ -145,6 +144,12 @@
   Duration FirstEventTimeout(double aExpectedSeconds) const;
   AttemptEnd Classify(const Attempt& aAttempt, CallResult aResult) const;
   void CloseAttempt(Attempt& aAttempt, AttemptEnd aEnd);
+  // ExchangeBodies.cpp: bodies of responses that are no streams.
+  void OnBody(Attempt& aAttempt, std::string_view aBytes);
+  void HoldStatedLength(Attempt& aAttempt);
+  /// Pauses the attempt while there is no room for aBytes of its body. Returns
+  /// whether there is.
+  bool HoldResponse(Attempt& aAttempt, std::size_t aBytes);
   // ExchangeStreams.cpp: the events of a stream.
   bool HasEventOutOfPlace(const std::vector<StreamEvent>& aEvents) const;
   void OnStreamBytes(Attempt& aAttempt, std::string_view aBytes);
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <charconv>
 #include <utility>
 
 namespace Acaciavale::Relay {
@@ -14,18 +13,10 @@
 
 namespace {
 
-/// Maximum size of a response that is buffered until it is complete. A larger
-/// response is considered a failure; the services of a deployment return
-/// smaller ones.
-constexpr std::size_t kMaximumBufferedBytes = 8U << 20;
-/// Room for responses that are larger is taken in steps of this size.
-constexpr std::size_t kReadAheadBytes = 256U << 10;
 /// Timeout for the first event, as a share of its goal and as a multiple of its
 /// expected time. The larger value applies.
 constexpr double kFirstEventGoalShare = 0.6;
 constexpr double kFirstEventMultiple = 4;
-/// Delay until a silent attempt that could not be replaced is checked again.
-constexpr Duration kSilenceRecheckDelay = std::chrono::milliseconds(200);
 /// Timeout for the gap between two events of a stream, as a share of its goal,
 /// when the next attempt would be the last one, whose failure would break off
 /// the caller's stream.
@@ -57,18 +48,6 @@
   return aHead.count(http::field::transfer_encoding) > 0 ? "chunked" : "length";
 }
 
-/// The length of the body that the head states, if any.
-std::optional<std::size_t> StatedLength(const ResponseHead& aHead)
-{
-  const auto text = aHead[http::field::content_length];
-  std::size_t length = 0;
-  const auto parsed =
-    std::from_chars(text.data(), text.data() + text.size(), length);
-  const bool isNumber = !text.empty() && parsed.ec == std::errc() &&
-                        parsed.ptr == text.data() + text.size();
-  return isNumber ? std::optional<std::size_t>(length) : std::nullopt;
-}
-
 /// Whether callers conclude from a status that the request was not executed.
 bool PromisesNotExecuted(unsigned aStatus)
 {
@@ -233,8 +212,8 @@
                        MayHaveBody(aHead, mSession->OpenRequest().method());
   if (aAttempt.mIsStream) {
     TakeOver(aAttempt);
-  } else if (const auto length = StatedLength(aHead)) {
-    HoldResponse(aAttempt, std::min(*length, kMaximumBufferedBytes));
+  } else {
+    HoldStatedLength(aAttempt);
   }
   const bool mayEscalate = aAttempt.mIsStream && !mIsStreaming &&
                            aAttempt.mResponseInfo.mConfidence &&
@@ -278,48 +257,6 @@
   StartAttempt(selection);
 }
 
-void Exchange::OnBody(Attempt& aAttempt, std::string_view aBytes)
-{
-  if (aAttempt.mIsStream) {
-    OnStreamBytes(aAttempt, aBytes);
-    return;
-  }
-  if (aAttempt.mBody.size() + aBytes.size() > kMaximumBufferedBytes) {
-    aAttempt.mCall->Cancel();
-    OnEnd(aAttempt, CallResult::InvalidHttp);
-    return;
-  }
-  aAttempt.mBody += aBytes;
-  HoldResponse(aAttempt, aAttempt.mBody.size());
-}
-
-bool Exchange::HoldResponse(Attempt& aAttempt, std::size_t aBytes)
-{
-  // NOTE: Room in steps, as the text grows by more than each read.
-  const std::size_t bytes =
-    aBytes <= kReadAheadBytes
-      ? aBytes
-      : (aBytes + kReadAheadBytes - 1) / kReadAheadBytes * kReadAheadBytes;
-  const auto onRoom = [weak = weak_from_this(), &aAttempt, aBytes] {
-    const auto self = weak.lock();
-    if (!self || self->mIsOver || aAttempt.mIsOver) {
-      return;
-    }
-    if (self->HoldResponse(aAttempt, aBytes)) {
-      self->ArmSilenceTimer(aAttempt, kSilenceRecheckDelay);
-      aAttempt.mCall->SetPaused(false);
-    }
-  };
-  if (!mState->mBudget->TryHoldResponse(aAttempt.mBodyHold, bytes, onRoom)) {
-    aAttempt.mCall->SetPaused(true);
-    return false;
-  }
-  if (bytes > kReadAheadBytes) {
-    aAttempt.mBody.reserve(bytes);
-  }
-  return true;
-}
-
 Exchange::AttemptEnd Exchange::Classify(const Attempt& aAttempt,
                                         CallResult aResult) const
 {
