Move the fuzz targets to the tests of the platform

The linter failed on: the targets have heads and entries with names of the platform, which may occur only in platform/ and in Tests/Platform. They read nearly all of their input by the code in platform/, so that is their place.

--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -9,4 +9,4 @@
 shift
 cmake -S . -B "$BUILD" -G Ninja -DACACIAVALE_NODE_ONLY=ON -DACACIAVALE_SANITIZE=ON > /dev/null
 cmake --build "$BUILD" --target acaciavale-fuzz > "$BUILD/build.log" || { cat "$BUILD/build.log"; exit 1; }
-exec "$BUILD/Tests/Fuzz/acaciavale-fuzz" "$@"
+exec "$BUILD/Tests/Platform/Fuzz/acaciavale-fuzz" "$@"
