--- a/Tests/Platform/TestLateRequest.cpp
+++ b/Tests/Platform/TestLateRequest.cpp
@@ -96,7 +96,7 @@
     const auto response = Start(aTarget, ended);
     mFixture.RunUntil([&ended] { return ended > 0; });
     CHECK(response->mResult == CallResult::Complete);
-    return *response;
+    return std::move(*response);
   }
 
   static constexpr Duration kEventInterval = std::chrono::milliseconds(100);
@@ -194,6 +194,7 @@
   mFixture.RunFor(std::chrono::milliseconds(1850));
   int ended = 0;
   std::vector<std::shared_ptr<Response>> responses;
+  responses.reserve(12);
   for (int call = 0; call < 12; ++call) {
     responses.push_back(Start("/open/x", ended));
   }
