Answer a request that has arrived behind a stream when the VM stops

Callers saw the connection close without a response to a request that they had sent up to 1.4 s before SIGTERM, behind a stream still under way (LOST).

Cause: at the end of a response in a stop, the connection closed unless the session's own buffer held more. A session that responds reads nothing, so a request in a segment of its own waits in the socket and was not seen; the stream's head had gone out before SIGTERM and announced no close.

What waits in the socket counts as received now. The request is judged like any late one, and its response announces the close.

Both new tests of PlannedStop fail on the code before. ARequestBehindTheLastResponseIsNotTaken asked for the fault, and is replaced by them; AConnectionClosesAfterAStreamThatBeganBefore waits 10 ms so that its late request crosses the close, and still fails without the second decision.

--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -176,10 +176,13 @@
     SetResetsOnClose(false);
   }
   mHasBegunStream = false;
-  // NOTE: The head of a stream may have gone out before the stop began. What
-  //       was received with the request counts as read and gets a response.
+  // NOTE: The head of a stream may have gone out before the stop began, so that
+  //       its caller was not told that later requests would not be read.
+  error_code failure;
+  const bool hasReceivedMore =
+    mBuffer.size() > 0 || mSocket.available(failure) > 0;
   const bool isLast =
-    mClosesAfterResponse || (mHooks->mIsDraining() && mBuffer.size() == 0);
+    mClosesAfterResponse || (mHooks->mIsDraining() && !hasReceivedMore);
   if (isLast) {
     Linger(aSelf);
     return;
