--- a/Tests/Platform/TestLateRequest.cpp
+++ b/Tests/Platform/TestLateRequest.cpp
@@ -76,7 +76,7 @@
 
   std::shared_ptr<Response> Start(const std::string& aTarget, int& aEnded)
   {
-    const auto response = std::make_shared<Response>();
+    auto response = std::make_shared<Response>();
     mOpenCalls.push_back(mFixture.StartCall(
       { "POST",
         aTarget,
@@ -96,7 +96,7 @@
     const auto response = Start(aTarget, ended);
     mFixture.RunUntil([&ended] { return ended > 0; });
     CHECK(response->mResult == CallResult::Complete);
-    return std::move(*response);
+    return *response;
   }
 
   static constexpr Duration kEventInterval = std::chrono::milliseconds(100);
