Count troubled attempts, not faulty runs, in the soak of the node

The log of the node shows that all three attempts of the route had gone: refused 503, broken off, refused 503; and silent, broken off, refused 503 (c23-44 and c17-40). PROTOCOL.md bounds the sends of a request by max-attempts.

A cut, a 502 and a 504 are allowed now only if endpoints refused, ended, garbled or paused as many attempts as the route has. Before, two faulty runs were enough for a cut and one for a 502, so the check is stricter in these.

--- a/Tests/Platform/Soak/Endpoints.cpp
+++ b/Tests/Platform/Soak/Endpoints.cpp
@@ -92,6 +92,7 @@
 
 bool Endpoints::Refuse(Channel& aChannel, const std::string& aId)
 {
+  mLedger.Trouble(aId, false);
   return aChannel.Send(Answer(503,
                               "Attempt-Id: " + aId +
                                 "\r\nNot-Executed: 1\r\n"
@@ -116,17 +117,17 @@
   const std::string body = RecordBody(id, NumberOf(aRequest.Target()));
   switch (fault) {
     case Fault::EndsWithinHead:
-      mLedger.FaultyRun(id);
+      mLedger.Trouble(id, true);
       aChannel.Send("HTTP/1.1 200 OK\r\n" + headers);
       return false;
     case Fault::EndsWithinBody:
-      mLedger.FaultyRun(id);
+      mLedger.Trouble(id, true);
       aChannel.Send("HTTP/1.1 200 OK\r\n" + headers +
                     "Content-Length: " + std::to_string(body.size()) +
                     "\r\n\r\n" + body.substr(0, body.size() / 2));
       return false;
     case Fault::LongField:
-      mLedger.FaultyRun(id);
+      mLedger.Trouble(id, true);
       headers += "X-Note: " + std::string(kLongFieldBytes, 'n') + "\r\n";
       break;
     default:
@@ -156,7 +157,7 @@
   std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
                      aReplica.Headers(aRequest);
   if (fault == Fault::EndsWithinHead || fault == Fault::LongField) {
-    mLedger.FaultyRun(id);
+    mLedger.Trouble(id, true);
     head += "X-Note: " + std::string(kLongFieldBytes, 'n');
     aChannel.Send(head.substr(
       0, fault == Fault::LongField ? std::string::npos : head.size() / 2));
@@ -170,14 +171,15 @@
   while (number < events) {
     Sleep(kEventSeconds);
     if (number == faultAt && fault == Fault::Pauses) {
+      mLedger.Trouble(id, false);
       Sleep(kPauseSeconds);
     }
     if (number == faultAt && fault == Fault::EndsWithinBody) {
-      mLedger.FaultyRun(id);
+      mLedger.Trouble(id, true);
       return false;
     }
     if (number == faultAt && fault == Fault::AnswersTwice) {
-      mLedger.FaultyRun(id);
+      mLedger.Trouble(id, true);
       aChannel.Send(head);
       return false;
     }
--- a/Tests/Platform/Soak/Ledger.cpp
+++ b/Tests/Platform/Soak/Ledger.cpp
@@ -23,9 +23,11 @@
   if (aRequest.mKind == Kind::NonIdempotent && aRequest.mRuns > 1) {
     return "TWICE: run " + std::to_string(aRequest.mRuns) + " times";
   }
-  const bool isFaulty =
-    aRequest.mFaultyRuns >=
-    (aRequest.mKind == Kind::NonIdempotent ? 1 : kMaximumAttempts - 1);
+  // NOTE: A request that may not be repeated has one run.
+  const bool hasNoAttemptLeft =
+    aRequest.mKind == Kind::NonIdempotent
+      ? aRequest.mFaultyRuns > 0
+      : aRequest.mTroubledAttempts >= kMaximumAttempts;
   switch (aRequest.mOutcome) {
     case Outcome::Open:
       return "LOST: its caller has not ended";
@@ -34,7 +36,7 @@
     case Outcome::Served:
       return {};
     case Outcome::Failed:
-      return aRequest.mFaultyRuns > 0 ? "" : "FAILED: no endpoint was at fault";
+      return hasNoAttemptLeft ? "" : "FAILED: an attempt was left";
     case Outcome::NotExecuted:
       return aRequest.mRuns > 0 ? "UNTRUE: run, and said not to have been" : "";
     case Outcome::Unanswered:
@@ -44,7 +46,7 @@
                ? ""
                : "LOST: no response";
     case Outcome::CutOff:
-      return isFaulty ? "" : "LOST: its response was cut off";
+      return hasNoAttemptLeft ? "" : "LOST: its response was cut off";
   }
   return {};
 }
@@ -81,10 +83,11 @@
   ++mRequests[aId].mRuns;
 }
 
-void Ledger::FaultyRun(const std::string& aId)
+void Ledger::Trouble(const std::string& aId, bool aIsFaultyRun)
 {
   const std::lock_guard lock(mMutex);
-  ++mRequests[aId].mFaultyRuns;
+  ++mRequests[aId].mTroubledAttempts;
+  mRequests[aId].mFaultyRuns += aIsFaultyRun ? 1 : 0;
 }
 
 void Ledger::Violation(const std::string& aText)
@@ -104,6 +107,7 @@
       text << id << ": " << rule << " (" << request.mManner << ", "
            << request.mError << ", status " << request.mStatus << ", runs "
            << request.mRuns << ", faulty runs " << request.mFaultyRuns
+           << ", troubled attempts " << request.mTroubledAttempts
            << ", sent at " << request.mSentAt << " s, stop at "
            << request.mStopAt << " s)";
       violations.push_back(text.str());
--- a/Tests/Platform/Soak/Ledger.h
+++ b/Tests/Platform/Soak/Ledger.h
@@ -52,6 +52,8 @@
   int mRuns = 0;
   /// How many of these runs the endpoints ended or garbled themselves.
   int mFaultyRuns = 0;
+  /// How many attempts endpoints refused, ended, garbled or paused.
+  int mTroubledAttempts = 0;
 };
 
 /// Counts of the outcomes of a soak.
@@ -73,7 +75,8 @@
   void Sent(const std::string& aId, double aAt);
   void End(const std::string& aId, const Request& aSeen);
   void Run(const std::string& aId);
-  void FaultyRun(const std::string& aId);
+  /// Counts a troubled attempt; aIsFaultyRun: also a faulty run.
+  void Trouble(const std::string& aId, bool aIsFaultyRun);
   void Violation(const std::string& aText);
 
   /// The violations so far and those of the recorded requests.
