Parse responses in the fuzz targets into the body that the product uses

A string as the body of a response reserves the stated length at once and throws bad_alloc (trace: string_body.hpp:102 under basic_parser::put). Beast applies the limit on bodies to requests before that, and to responses only as bytes arrive.

No code of the product reads a response into a string: OutboundCall has a buffer_body, SecondResponse a body that grows with what arrives. The target takes the latter now. The length is still swept, here and on sockets by endpoint-connection.

--- a/Tests/Platform/Fuzz/HttpTargets.cpp
+++ b/Tests/Platform/Fuzz/HttpTargets.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/dynamic_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 namespace Acaciavale::Fuzz {
@@ -43,8 +44,8 @@
   "data: c\n\nid: 3\r\nretry: 5\r\ndata: d\r\n\r\n";
 
 /// Parses the parts as one message. Returns whether its head is complete.
-template<bool kIsRequest>
-bool Parse(BoundedParser<kIsRequest, http::string_body>& aParser,
+template<bool kIsRequest, class Body>
+bool Parse(BoundedParser<kIsRequest, Body>& aParser,
            std::string_view aInput,
            std::uint64_t aSplit)
 {
@@ -94,7 +95,9 @@
 void RunResponse(std::string_view aInput, std::uint64_t aSplit)
 {
   static const WireCodec codec = Platform::HeaderCodec();
-  BoundedParser<false, http::string_body> parser(kMaximumHeadBytes);
+  // NOTE: A string reserves the length that the head states.
+  BoundedParser<false, http::basic_dynamic_body<boost::beast::flat_buffer>>
+    parser(kMaximumHeadBytes);
   if (!Parse(parser, aInput, aSplit)) {
     return;
   }
