Keep requests waiting for the first view through failed reads

A single failed read of the store refused all requests that waited for the first view of a VM, and all newcomers until the next read.

DecideViewWait now decides from the caller's time left, how long reads have failed and when the next read is due. A starting VM repeats its first reads sooner. Refusals state a delay that ends after the next read.

TestLibRelay: 131 of 131. TestPlatform: FirstView, StoreOutage, EndToEnd and StalledVm groups passed; the whole program still runs at this commit.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Maximum time that a request waits for a view of the fleet. A VM that has
-/// just started or resumed receives one within a few responses of the store.
-constexpr Duration kFleetViewTimeout = std::chrono::milliseconds(400);
 /// Connect timeout as a share of the goal for the first event, and its limits:
 /// above several round trips and below the retransmission of a lost packet.
 constexpr double kConnectGoalShare = 0.5;
@@ -101,30 +98,43 @@
   Admit();
 }
 
+/// Waits for a view of the fleet, or refuses the request if that is no use.
 void Exchange::AwaitFleetView(std::string_view aReason)
 {
-  if (mHasWaitedForView || mState->mSnapshotFailed) {
-    Refuse(503, aReason, kDefaultRetryAfter);
+  const TimePoint now = MonotonicNow();
+  const Duration waited = now - mArrivedAt;
+  std::optional<Duration> timeLeft = mRequest.mTimeLeft;
+  if (timeLeft) {
+    *timeLeft -= waited;
+  }
+  const ViewWaitDecision decision = DecideViewWait(
+    mState->mViewReads, timeLeft, waited, mState->mRandom.Unit(), now);
+  if (decision.mWait <= Duration{}) {
+    mState->mMetrics.Count("acaciavale_relay_view_waits_total",
+                           { { "outcome", "refused" } });
+    Refuse(503, aReason, decision.mRetryAfter);
     return;
   }
+  mIsAwaitingView = true;
   mState->mAwaitingFleetView.push_back(weak_from_this());
   mTimer.StartTimeout(
-    kFleetViewTimeout,
-    [self = shared_from_this(), reason = std::string(aReason)] {
-      self->mHasWaitedForView = true;
-      self->Refuse(503, reason, kDefaultRetryAfter);
-    },
-    kFleetViewTimeout);
+    decision.mWait,
+    [self = shared_from_this()] { self->OnFleetView(); },
+    kTimeToCatchUp);
 }
 
 void Exchange::OnFleetView()
 {
-  if (mIsOver || mHasWaitedForView) {
+  if (mIsOver || !mIsAwaitingView) {
     return;
   }
-  mHasWaitedForView = true;
+  mIsAwaitingView = false;
   mTimer.Cancel();
   Begin();
+  if (!mIsOver && !mIsAwaitingView) {
+    mState->mMetrics.Count("acaciavale_relay_view_waits_total",
+                           { { "outcome", "admitted" } });
+  }
 }
 
 void Exchange::Admit()
@@ -250,7 +260,7 @@
   if (selection.mIsFull) {
     return false;
   }
-  if (mAttempts.empty() && !mState->mHasFleetView) {
+  if (mAttempts.empty() && !mState->mViewReads.mHasHadView) {
     AwaitFleetView("no endpoints are known yet");
     return true;
   }
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -207,7 +207,7 @@
   bool mMayHaveRun = false;
   bool mIsOver = false;
   bool mIsStreaming = false;
-  bool mHasWaitedForView = false;
+  bool mIsAwaitingView = false; ///< Waits for a view of the fleet.
   std::optional<WaitTicket> mQueueTicket;
   /// Versions whose endpoints the prompt crashes.
   std::vector<std::string> mExcludedVersions;
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -212,15 +212,8 @@
   mState->mLiveVms = std::max<std::int64_t>(
     1, static_cast<std::int64_t>(aView.mServingVms.size()));
   mState->mReadStartedAt = aView.mReadStartedAt;
-  mState->mHasFleetView = true;
-  mState->mSnapshotFailed = false;
-  const auto waiting = std::move(mState->mAwaitingFleetView);
-  mState->mAwaitingFleetView.clear();
-  for (const auto& weak : waiting) {
-    if (const auto exchange = weak.lock()) {
-      exchange->OnFleetView();
-    }
-  }
+  mState->mViewReads = { true, std::nullopt, {} };
+  ReviewWaiting();
   std::vector<std::string> pools;
   for (const auto& [pool, queue] : mState->mQueues) {
     pools.push_back(pool);
@@ -246,9 +239,16 @@
   }
 }
 
-void RequestRelay::NotifySnapshotFailed()
+void RequestRelay::NotifySnapshotFailed(Duration aNextReadIn)
+{
+  const TimePoint now = MonotonicNow();
+  mState->mViewReads =
+    WithFailedRead(mState->mViewReads, now + aNextReadIn, now);
+  ReviewWaiting();
+}
+
+void RequestRelay::ReviewWaiting()
 {
-  mState->mSnapshotFailed = true;
   const auto waiting = std::move(mState->mAwaitingFleetView);
   mState->mAwaitingFleetView.clear();
   for (const auto& weak : waiting) {
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -6,6 +6,7 @@
 #include <Acaciavale/LibRelay/Relay.h>
 #include <Acaciavale/LibRelay/Timer.h>
 #include <Acaciavale/LibRelay/VersionEvidence.h>
+#include <Acaciavale/LibRelay/ViewWait.h>
 #include <Acaciavale/LibRelay/WaitQueue.h>
 #include <Acaciavale/LibReport/Metrics.h>
 #include <Acaciavale/LibRouting/PromptQuarantine.h>
@@ -73,8 +74,7 @@
     mEndpointChecks;
   std::int64_t mLiveVms = 1;
   TimePoint mReadStartedAt{}; ///< FleetView::mReadStartedAt of the latest view.
-  bool mSnapshotFailed = false; ///< Whether the latest read failed.
-  bool mHasFleetView = false;   ///< Whether any view has been applied.
+  ViewReads mViewReads;
   std::optional<PlannedStop> mPlannedStop;
   std::set<Exchange*> mExchanges;                    ///< All that exist.
   std::map<std::string, RecentDurations> mDurations; ///< By route.
--- a/Libraries/LibRelay/StoreReaders.cpp
+++ b/Libraries/LibRelay/StoreReaders.cpp
@@ -34,6 +34,10 @@
 /// their entries after an outage.
 constexpr Duration kInitialRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kMaximumRetryDelay = std::chrono::milliseconds(1000);
+/// Delay of the second read of a VM that has just started; it grows by as much
+/// with each failure. At 330 VMs, which start together after a loss of power,
+/// that is at most a third of the calls that the store takes in a second.
+constexpr Duration kFirstReadRetryDelay = std::chrono::milliseconds(100);
 /// Maximum number of readers that a VM asks about one outage: two failure
 /// domains may be cut off together.
 constexpr std::size_t kMaximumWitnesses = 3;
@@ -229,6 +233,14 @@
   return std::min(pause, kMaximumRetryDelay);
 }
 
+Duration FirstReadRetryDelay(std::size_t aFailures, double aJitter)
+{
+  const auto count = static_cast<double>(std::max<std::size_t>(1, aFailures));
+  const double seconds =
+    InSeconds(kFirstReadRetryDelay) * count * (1 + aJitter);
+  return std::min(FromSeconds(seconds), RetryDelay(aFailures));
+}
+
 bool SharesLoadReports(std::size_t aVms)
 {
   return aVms >= kMinimumVmsForLoadSharing;
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -101,9 +101,10 @@
   /// get a response that promises nothing.
   void EndOpenRequests();
 
-  /// Notifies the relay that the store cannot be read. Until the next view,
-  /// requests that would wait for a view are refused immediately.
-  void NotifySnapshotFailed();
+  /// Notifies the relay that a read of the fleet failed and that the next one
+  /// starts in aNextReadIn. Requests that wait for a view are refused if the
+  /// wait is no use any more.
+  void NotifySnapshotFailed(Duration aNextReadIn);
 
   /// Serves the open request of the session.
   void Serve(const std::shared_ptr<ClientSession>& aSession);
@@ -156,6 +157,9 @@
   std::string MetricsText() const;
 
 private:
+  /// Continues or refuses the requests that wait for a view, or lets them wait.
+  void ReviewWaiting();
+
   std::shared_ptr<RelayState> mState;
 };
 
--- a/include/Acaciavale/LibRelay/StoreReaders.h
+++ b/include/Acaciavale/LibRelay/StoreReaders.h
@@ -69,6 +69,11 @@
 /// calls. Calls that the store rejects have a price too, and add to its load.
 Duration RetryDelay(std::size_t aFailures);
 
+/// The same for a VM that has not read anything since its start, for whose
+/// first view callers wait. aJitter is a random number in [0, 1): VMs that
+/// start together spread their calls.
+Duration FirstReadRetryDelay(std::size_t aFailures, double aJitter);
+
 /// Whether VMs exchange the load reports of endpoints. In a small fleet, each
 /// VM receives a report from every endpoint every few seconds anyway.
 bool SharesLoadReports(std::size_t aVms);
