Split the selection of an endpoint into candidates, cost and choice

EndpointRegistry::Choose had 120 lines that decided who may take an attempt, what it costs there and why there is no endpoint. Prompt work, sizes and memory would have made it longer.

EndpointCandidates finds the endpoints that may take an attempt, EndpointCost describes them to ChooseEndpoint, and Choose (32 lines) joins both with what the registry knows. No change in behavior.

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -1,11 +1,7 @@
-#include <Acaciavale/LibRelay/EndpointRegistry.h>
-#include <Acaciavale/LibRelay/StoreReaders.h>
-
-#include <Acaciavale/LibRouting/EndpointSubset.h>
+#include <Acaciavale/LibRelay/EndpointCandidates.h>
+#include <Acaciavale/LibRelay/EndpointCost.h>
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <xxhash.h>
 
 namespace Acaciavale::Relay {
@@ -23,65 +19,16 @@
 constexpr double kQuartileStep = 0.02;
 /// Upper limit of a single sample of the goal ratio.
 constexpr double kMaximumGoalRatio = 3;
-/// Half-life of the slowness of an endpoint on a logarithmic scale, so that an
-/// endpoint that was slow is tried again.
-constexpr double kSlownessHalfLifeSeconds = 8;
-/// Share by which the expected latency of an endpoint is reduced if its
-/// slowness was not updated for a long time, so that it is preferred to equal
-/// endpoints.
-constexpr double kMaximumOptimism = 0.1;
 /// Limits on the slowness ratio of a single sample.
 constexpr double kMinimumSlowness = 0.25;
 constexpr double kMaximumSlowness = 16;
-/// Relative increase of the time to the first event when all slots of an engine
-/// are in use, because the engine alternates between the prompts of a batch.
-/// Trials with the values 1, 3 and 6 are in docs/measurements/platform-days.md.
-constexpr double kBusySlowdown = 4;
-/// Age at which a load report has half of its weight, about the duration of a
-/// request.
-constexpr double kReportHalfWeightSeconds = 4;
-/// Age at which the waiting requests of a load report have half of their
-/// weight. Engines read the waiting prompts and receive new ones about once a
-/// second.
-constexpr double kWaitingReportHalfWeightSeconds = 1;
-/// Time for which an engine is assumed to cache a shared prefix. The
-/// deployments assume the same time.
-constexpr double kPrefixCacheSeconds = 9;
-/// Number of prefixes per endpoint above which expired ones are removed.
-constexpr std::size_t kMaximumSharedPrefixes = 256;
-/// Number of candidate endpoints that a VM of a large fleet samples inside and
-/// outside its failure domain. The values follow from the rows `long` and
-/// `half-slow` of docs/measurements/decisions.md and leave a candidate if one
-/// fails.
-constexpr std::uint32_t kLocalSampleSize = 3;
-constexpr std::uint32_t kRemoteSampleSize = 1;
 /// How long an endpoint that has ended is not selected. The list drops it
 /// after three missing liveness reports.
 constexpr Duration kEndedMemory = std::chrono::seconds(5);
-/// Open attempts at an endpoint if the query has no limit.
-constexpr std::int32_t kUnlimited = std::numeric_limits<std::int32_t>::max();
 /// Maximum share of a pool's endpoints that may be ejected. If more of them
 /// fail, the cause is probably not in the endpoints.
 constexpr double kMaximumEjectedShare = 0.5;
 
-double SlownessAt(const Endpoint& aEndpoint, TimePoint aNow)
-{
-  const double age =
-    std::max(0.0, InSeconds(aNow - aEndpoint.mSlownessUpdatedAt));
-  const double remainingShare = std::exp2(-age / kSlownessHalfLifeSeconds);
-  return std::pow(aEndpoint.mSlowness, remainingShare) *
-         (1 - kMaximumOptimism * (1 - remainingShare));
-}
-
-bool CachesPrefix(const Endpoint& aEndpoint,
-                  std::uint64_t aHash,
-                  TimePoint aNow)
-{
-  const auto found = aEndpoint.mSharedPrefixes.find(aHash);
-  return found != aEndpoint.mSharedPrefixes.end() &&
-         InSeconds(aNow - found->second) < kPrefixCacheSeconds;
-}
-
 } // namespace
 
 std::uint64_t HashOf(const std::string& aText)
@@ -199,142 +146,50 @@
   ratio += kGoalRatioWeight * (std::min(aGoalRatio, kMaximumGoalRatio) - ratio);
 }
 
-EndpointSelection EndpointRegistry::Choose(const EndpointSelectionQuery& aQuery,
-                                           Random& aRandom,
-                                           TimePoint aNow)
+CostBasis EndpointRegistry::CostBasisOf(
+  const EndpointSelectionQuery& aQuery) const
 {
-  const std::vector<std::shared_ptr<Endpoint>> all = EndpointsOf(aQuery.mPool);
-  const double expectedSeconds =
-    ExpectedFirstEventSeconds(aQuery.mPool, aQuery.mWork);
   const PromptLatencyModel latency =
     LatencyModelOf(aQuery.mPool, aQuery.mWork).mPromptLatency;
-  const double secondsPerToken = SecondsPerToken(latency);
+  CostBasis basis;
+  basis.mExpectedSeconds =
+    ExpectedFirstEventSeconds(aQuery.mPool, aQuery.mWork);
+  basis.mSecondsPerToken = SecondsPerToken(latency);
   // NOTE: The length of prompts from other VMs is unknown; the mean is assumed.
-  const double secondsPerWaiting =
+  basis.mSecondsPerWaiting =
     aQuery.mWork.mPromptTokens > 0 ? latency.mMeanSeconds : 0;
+  return basis;
+}
+
+EndpointSelection EndpointRegistry::Choose(const EndpointSelectionQuery& aQuery,
+                                           Random& aRandom,
+                                           TimePoint aNow)
+{
+  const std::vector<std::shared_ptr<Endpoint>> all = EndpointsOf(aQuery.mPool);
+  const EndpointCandidates candidates = FindCandidates(
+    all,
+    aQuery,
+    { mEvacuatedDomains,
+      [this, aNow](Endpoint& aEndpoint) { return PermitOf(aEndpoint, aNow); } },
+    aNow);
+  const CostBasis basis = CostBasisOf(aQuery);
   std::vector<EndpointView> views;
-  std::uint32_t full = 0;
-  std::uint32_t usable = 0;
-  LimitedEndpoints limited;
-  std::optional<TimePoint> quietUntil;
-  bool allWantQuiet = true;
-  for (std::uint32_t index = 0; index < all.size(); ++index) {
-    const Endpoint& endpoint = *all[index];
-    const bool isAllowed =
-      !mEvacuatedDomains.contains(endpoint.mRecord.mFailureDomain) &&
-      !endpoint.mRecord.mIsDraining && !endpoint.mAnnouncement.mIsLeaving &&
-      !HasEnded(endpoint, aNow) &&
-      (!aQuery.mAcceptsVersion ||
-       aQuery.mAcceptsVersion(endpoint.mRecord.mVersion));
-    if (!isAllowed) {
-      continue;
-    }
-    const QuietPeriod& quiet = endpoint.mAnnouncement.mQuiet;
-    if (IsQuiet(quiet, aNow)) {
-      quietUntil = std::min(quietUntil.value_or(quiet.mEndsAt), quiet.mEndsAt);
-      continue;
-    }
-    allWantQuiet = false;
-    const bool wasTried = std::find(aQuery.mTriedEndpoints.begin(),
-                                    aQuery.mTriedEndpoints.end(),
-                                    &endpoint) != aQuery.mTriedEndpoints.end();
-    if (wasTried) {
-      continue;
-    }
-    ++usable;
-    const std::int32_t places = PlacesAfterQuiet(
-      quiet,
-      aQuery.mMaximumInFlight > 0 ? aQuery.mMaximumInFlight : kUnlimited,
-      aNow);
-    if (endpoint.mInFlight >= places) {
-      ++full;
-      continue;
-    }
-    if (const auto bound = BoundOf(endpoint, aNow)) {
-      const auto share = PermitShareOf(*all[index], *bound);
-      const TimePoint next =
-        share ? NextPermitAt(endpoint.mPermits, *share) : TimePoint::max();
-      if (next > aNow) {
-        limited = WithEndpoint(limited, bound->mPerSecond, share, next);
-        continue;
-      }
-    }
-    EndpointView view;
-    view.mIndex = index;
-    view.mKey = HashOf(endpoint.mRecord.mId);
-    view.mFailureDomain =
-      static_cast<std::uint32_t>(HashOf(endpoint.mRecord.mFailureDomain));
-    view.mEjected = IsBlocked(endpoint.mHealth, endpoint.mInFlight, aNow);
-    view.mOwnInFlight = endpoint.mInFlight;
-    view.mReportedInFlight = endpoint.mLoad.mRunning + endpoint.mLoad.mWaiting;
-    view.mOwnInFlightAtReport = endpoint.mInFlightAtReport;
-    view.mReportAge = aNow - endpoint.mLoadReportedAt;
-    view.mSlots = std::max(1, endpoint.mRecord.mSlots);
-    const double reportWeight =
-      1 / (1 + InSeconds(view.mReportAge) / kReportHalfWeightSeconds);
-    const double slotUsage = std::max(static_cast<double>(view.mOwnInFlight),
-                                      reportWeight * view.mReportedInFlight) /
-                             view.mSlots;
-    const std::int32_t othersWaiting =
-      std::max(0, endpoint.mLoad.mWaiting - endpoint.mWaitingAttemptsAtReport);
-    const double stillWaiting =
-      othersWaiting /
-      (1 + InSeconds(view.mReportAge) / kWaitingReportHalfWeightSeconds);
-    const double backlog =
-      secondsPerToken * static_cast<double>(endpoint.mWaitingPromptTokens) +
-      secondsPerWaiting * stillWaiting;
-    view.mSecondsPerRequest = SlownessAt(endpoint, aNow) *
-                              (expectedSeconds + backlog) *
-                              (1 + kBusySlowdown * slotUsage);
-    view.mInFlightServiceSeconds = MeanInFlightSeconds(endpoint.mTurnover);
-    view.mErrorRate = ExpectedErrorRate(endpoint.mHealth, aNow);
-    view.mCachedPrefixShare =
-      aQuery.mWork.mSharedPrefixHash != 0 &&
-          CachesPrefix(endpoint, aQuery.mWork.mSharedPrefixHash, aNow)
-        ? 1
-        : 0;
-    views.push_back(view);
-  }
-  // NOTE: If all candidates are ejected, an attempt is better than a refusal.
-  if (std::all_of(views.begin(), views.end(), [](const EndpointView& aView) {
-        return aView.mEjected;
-      })) {
-    for (EndpointView& view : views) {
-      view.mEjected = false;
-    }
-  }
-  EndpointQuery query;
-  query.mFailureDomain =
-    static_cast<std::uint32_t>(HashOf(aQuery.mFailureDomain));
-  query.mLiveVms = aQuery.mLiveVms;
-  query.mCrossDomainSeconds = aQuery.mCrossDomainSeconds;
-  query.mPrefixHash = aQuery.mWork.mSharedPrefixHash;
-  query.mHomeInOwnDomain = true;
-  if (SharesLoadReports(aQuery.mLiveVms)) {
-    query.mLocalSampleSize = kLocalSampleSize;
-    query.mRemoteSampleSize = kRemoteSampleSize;
-  }
-  query.mPrefillSeconds =
-    secondsPerToken * static_cast<double>(aQuery.mWork.mSharedPrefixTokens);
-  const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
-  EndpointSelection selection;
-  const bool mayWait = full > 0 || limited.mOwnPerSecond > 0;
-  selection.mIsFull = mayWait && full + limited.mCount == usable;
-  if (full + limited.mCount == usable) {
-    selection.mLimited = limited;
-    selection.mIsAnyFull = full > 0;
-  }
-  if (allWantQuiet) {
-    selection.mQuietUntil = quietUntil;
+  views.reserve(candidates.mIndices.size());
+  for (const std::uint32_t index : candidates.mIndices) {
+    views.push_back(ViewOf(*all[index], index, aQuery.mWork, basis, aNow));
   }
+  AdmitEjectedIfAlone(views);
+  const EndpointDecision decision =
+    ChooseEndpoint(views, MakeEndpointQuery(aQuery, basis), aRandom);
+  EndpointSelection selection = SelectionWithout(candidates);
   selection.mReason = decision.mReason;
   if (decision.mIndex) {
+    const auto chosen = std::find_if(
+      views.begin(), views.end(), [&decision](const EndpointView& aView) {
+        return aView.mIndex == *decision.mIndex;
+      });
     selection.mEndpoint = all[*decision.mIndex];
-    for (const EndpointView& view : views) {
-      if (view.mIndex == *decision.mIndex) {
-        selection.mExpectedFirstEventSeconds = view.mSecondsPerRequest;
-      }
-    }
+    selection.mExpectedFirstEventSeconds = chosen->mSecondsPerRequest;
   }
   return selection;
 }
@@ -353,12 +208,7 @@
   aEndpoint.mWaitingPromptTokens += aWork.mPromptTokens;
   aEndpoint.mWaitingAttempts += 1;
   if (aWork.mSharedPrefixHash != 0) {
-    aEndpoint.mSharedPrefixes[aWork.mSharedPrefixHash] = aNow;
-    if (aEndpoint.mSharedPrefixes.size() > kMaximumSharedPrefixes) {
-      std::erase_if(aEndpoint.mSharedPrefixes, [&](const auto& aPrefix) {
-        return InSeconds(aNow - aPrefix.second) >= kPrefixCacheSeconds;
-      });
-    }
+    RecordPrefix(aEndpoint, aWork.mSharedPrefixHash, aNow);
   }
 }
 
--- a/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
+++ b/Libraries/LibRelay/EndpointRegistryAnnouncements.cpp
@@ -1,4 +1,4 @@
-#include <Acaciavale/LibRelay/EndpointRegistry.h>
+#include <Acaciavale/LibRelay/EndpointCandidates.h>
 
 /// The part of EndpointRegistry that keeps what endpoints state about
 /// themselves, and divides their limits among the VMs.
@@ -67,6 +67,20 @@
                  static_cast<std::uint32_t>(mLiveVmKeys.size()));
 }
 
+std::optional<EndpointPermit> EndpointRegistry::PermitOf(Endpoint& aEndpoint,
+                                                         TimePoint aNow) const
+{
+  const auto bound = BoundOf(aEndpoint, aNow);
+  if (!bound) {
+    return std::nullopt;
+  }
+  const auto share = PermitShareOf(aEndpoint, *bound);
+  return EndpointPermit{ bound->mPerSecond,
+                         share,
+                         share ? NextPermitAt(aEndpoint.mPermits, *share)
+                               : TimePoint::max() };
+}
+
 bool EndpointRegistry::RecordLeaving(Endpoint& aEndpoint, TimePoint aNow)
 {
   const bool isNews = !aEndpoint.mAnnouncement.mIsLeaving;
--- /dev/null
+++ b/include/Acaciavale/LibRelay/EndpointCost.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <Acaciavale/LibRelay/EndpointRegistry.h>
+
+/// What an attempt costs at an endpoint: the time until its first event there.
+namespace Acaciavale::Relay {
+
+/// What is known of the work, the same for all endpoints of its pool.
+struct CostBasis
+{
+  /// Time to the first event on an endpoint with average speed and no backlog.
+  double mExpectedSeconds = 0;
+  double mSecondsPerToken = 0; ///< Of the work's model.
+  /// Assumed time that a waiting request of another VM takes; the length of its
+  /// prompt is not known.
+  double mSecondsPerWaiting = 0;
+
+  auto operator<=>(const CostBasis&) const = default;
+};
+
+/// The slowness of the endpoint, which returns to 1 while it is not updated.
+double SlownessAt(const Endpoint& aEndpoint, TimePoint aNow);
+
+/// Whether the endpoint is assumed to cache the prefix with the hash.
+bool CachesPrefix(const Endpoint& aEndpoint,
+                  std::uint64_t aHash,
+                  TimePoint aNow);
+
+/// Records that the endpoint reads the prefix with the hash now.
+void RecordPrefix(Endpoint& aEndpoint, std::uint64_t aHash, TimePoint aNow);
+
+/// Seconds of prompt work that wait at the endpoint ahead of a new request.
+double BacklogSeconds(const Endpoint& aEndpoint,
+                      const CostBasis& aBasis,
+                      TimePoint aNow);
+
+/// The endpoint as input to ChooseEndpoint. aIndex is the number that the
+/// decision returns.
+EndpointView ViewOf(const Endpoint& aEndpoint,
+                    std::uint32_t aIndex,
+                    const AttemptWork& aWork,
+                    const CostBasis& aBasis,
+                    TimePoint aNow);
+
+/// Admits ejected endpoints if there are no others: an attempt is better than a
+/// refusal.
+void AdmitEjectedIfAlone(std::vector<EndpointView>& aViews);
+
+/// The conditions of the selection as input to ChooseEndpoint.
+EndpointQuery MakeEndpointQuery(const EndpointSelectionQuery& aQuery,
+                                const CostBasis& aBasis);
+
+} // namespace Acaciavale::Relay
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -165,6 +165,9 @@
   std::string_view mReason;
 };
 
+struct CostBasis;
+struct EndpointPermit;
+
 class EndpointRegistry
 {
 public:
@@ -266,6 +269,11 @@
   void RecordFirstEventGoalRatio(const std::string& aPool, double aGoalRatio);
 
 private:
+  /// What the registry knows of the cost of the query's work.
+  CostBasis CostBasisOf(const EndpointSelectionQuery& aQuery) const;
+  /// The permit for the endpoint; empty if its requests are not bounded.
+  std::optional<EndpointPermit> PermitOf(Endpoint& aEndpoint,
+                                         TimePoint aNow) const;
   /// The latency model of the pool and the work's model; an empty one without
   /// samples.
   PoolLatencyModel LatencyModelOf(const std::string& aPool,
