Measure the backlog of endpoints in prompt work by model and cached parts

The backlog of an endpoint was its unread prompt tokens times the pace of the new request's model, and other VMs' waiting requests were costed by the mean time of that model's prompts. Models differ by a factor of ten, so was the result.

PromptWork keeps this VM's unread prompts of an endpoint in seconds by their own model, without the parts that it has cached. The work decreases as the endpoint reads, but not past a prompt whose first event is missing. Waiting requests of other VMs have the mean work over all models of the pool, as this VM places them; before there is one, that of the new request.

--- a/Libraries/LibRelay/EndpointCost.cpp
+++ b/Libraries/LibRelay/EndpointCost.cpp
@@ -77,8 +77,7 @@
   const double stillWaiting =
     othersWaiting / (1 + InSeconds(aNow - aEndpoint.mLoadReportedAt) /
                            kWaitingReportHalfWeightSeconds);
-  return aBasis.mSecondsPerToken *
-           static_cast<double>(aEndpoint.mWaitingPromptTokens) +
+  return RemainingWork(aEndpoint.mPlacedWork, aNow) +
          aBasis.mSecondsPerWaiting * stillWaiting;
 }
 
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -29,6 +29,13 @@
 /// fail, the cause is probably not in the endpoints.
 constexpr double kMaximumEjectedShare = 0.5;
 
+/// Removes the prompt of an attempt that had its first event or has ended.
+void RemovePrompt(Endpoint& aEndpoint, const AttemptWork& aWork, TimePoint aNow)
+{
+  aEndpoint.mPlacedWork = WithoutPrompt(
+    std::move(aEndpoint.mPlacedWork), aWork.mModel, aWork.mPromptTokens, aNow);
+}
+
 } // namespace
 
 std::uint64_t HashOf(const std::string& aText)
@@ -155,9 +162,14 @@
   basis.mExpectedSeconds =
     ExpectedFirstEventSeconds(aQuery.mPool, aQuery.mWork);
   basis.mSecondsPerToken = SecondsPerToken(latency);
-  // NOTE: The length of prompts from other VMs is unknown; the mean is assumed.
+  // NOTE: The lengths and models of prompts from other VMs are unknown; the
+  // mean
+  //       over all models is assumed and, before there is one, this prompt.
+  const auto mix = mPromptWork.find(aQuery.mPool);
   basis.mSecondsPerWaiting =
-    aQuery.mWork.mPromptTokens > 0 ? latency.mMeanSeconds : 0;
+    mix == mPromptWork.end()
+      ? PromptWorkSeconds(aQuery.mWork.mPromptTokens, 0, basis.mSecondsPerToken)
+      : mix->second.mMeanSeconds;
   return basis;
 }
 
@@ -194,6 +206,28 @@
   return selection;
 }
 
+void EndpointRegistry::PlacePrompt(Endpoint& aEndpoint,
+                                   const AttemptWork& aWork,
+                                   TimePoint aNow)
+{
+  if (aWork.mPromptTokens <= 0) {
+    return;
+  }
+  const bool isCached = aWork.mSharedPrefixHash != 0 &&
+                        CachesPrefix(aEndpoint, aWork.mSharedPrefixHash, aNow);
+  const std::string& pool = aEndpoint.mRecord.mPool;
+  const double seconds = PromptWorkSeconds(
+    aWork.mPromptTokens,
+    isCached ? aWork.mSharedPrefixTokens : 0,
+    SecondsPerToken(LatencyModelOf(pool, aWork).mPromptLatency));
+  aEndpoint.mPlacedWork =
+    WithPrompt(std::move(aEndpoint.mPlacedWork),
+               { aWork.mModel, aWork.mPromptTokens, seconds },
+               aNow);
+  PromptWorkMix& mix = mPromptWork[pool];
+  mix = WithPrompt(mix, seconds);
+}
+
 void EndpointRegistry::RecordAttempt(Endpoint& aEndpoint,
                                      const AttemptWork& aWork,
                                      TimePoint aNow)
@@ -205,7 +239,7 @@
     WithUse(aEndpoint.mPermits,
             bound ? PermitShareOf(aEndpoint, *bound) : std::nullopt,
             aNow);
-  aEndpoint.mWaitingPromptTokens += aWork.mPromptTokens;
+  PlacePrompt(aEndpoint, aWork, aNow);
   aEndpoint.mWaitingAttempts += 1;
   if (aWork.mSharedPrefixHash != 0) {
     RecordPrefix(aEndpoint, aWork.mSharedPrefixHash, aNow);
@@ -217,7 +251,7 @@
                                         double aSeconds,
                                         TimePoint aNow)
 {
-  aEndpoint.mWaitingPromptTokens -= aWork.mPromptTokens;
+  RemovePrompt(aEndpoint, aWork, aNow);
   aEndpoint.mWaitingAttempts -= 1;
   const double expectedSeconds =
     ExpectedFirstEventSeconds(aEndpoint.mRecord.mPool, aWork);
@@ -289,7 +323,7 @@
 {
   aEndpoint.mInFlight -= 1;
   if (!aHadFirstEvent) {
-    aEndpoint.mWaitingPromptTokens -= aWork.mPromptTokens;
+    RemovePrompt(aEndpoint, aWork, aNow);
     aEndpoint.mWaitingAttempts -= 1;
   }
   if (!aOutcome.mCountsAsEvidence) {
--- a/include/Acaciavale/LibRelay/EndpointCost.h
+++ b/include/Acaciavale/LibRelay/EndpointCost.h
@@ -11,8 +11,8 @@
   /// Time to the first event on an endpoint with average speed and no backlog.
   double mExpectedSeconds = 0;
   double mSecondsPerToken = 0; ///< Of the work's model.
-  /// Assumed time that a waiting request of another VM takes; the length of its
-  /// prompt is not known.
+  /// Assumed prompt work of a waiting request of another VM, whose model and
+  /// length are not known.
   double mSecondsPerWaiting = 0;
 
   auto operator<=>(const CostBasis&) const = default;
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -5,6 +5,7 @@
 #include <Acaciavale/LibRelay/CallerRequest.h>
 #include <Acaciavale/LibRelay/EndpointAnnouncements.h>
 #include <Acaciavale/LibRelay/PromptLatencyModel.h>
+#include <Acaciavale/LibRelay/PromptWork.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
 #include <Acaciavale/LibRouting/EndpointHealth.h>
 
@@ -82,8 +83,7 @@
   TimePoint mLastAttemptAt{}; ///< Start of this VM's latest attempt.
   /// Open attempts of this VM that have not received a first event.
   std::int32_t mWaitingAttempts = 0;
-  /// Prompt tokens of these waiting attempts.
-  std::int64_t mWaitingPromptTokens = 0;
+  PlacedWork mPlacedWork; ///< Prompts of these waiting attempts.
   EndpointHealth mHealth;
   InFlightServiceTime mTurnover;
   /// Ratio of the time to the first event to the expected time in the pool.
@@ -284,6 +284,10 @@
   /// The bound on the requests to the endpoint at aNow; empty: none.
   std::optional<RateBound> BoundOf(const Endpoint& aEndpoint,
                                    TimePoint aNow) const;
+  /// Adds the prompt of an attempt that starts to the endpoint's unread ones.
+  void PlacePrompt(Endpoint& aEndpoint,
+                   const AttemptWork& aWork,
+                   TimePoint aNow);
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
@@ -298,6 +302,7 @@
   /// Latency models by pool and model.
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
+  std::map<std::string, PromptWorkMix> mPromptWork;    ///< Prompt work by pool.
   std::map<std::string, double> mFirstEventGoalRatios; ///< Goal ratios by pool.
 };
 
