Let long and short prompts prefer different endpoints under strain

Short prompts behind a long one on the same endpoint miss their goal.

SizeAffinity adds a cost in seconds to each candidate: a long prompt costs the delay that it causes to short ones, a short prompt the long one that it may meet. The strength follows the strain of the pool by the same function as the price of engine time, so there is none while capacity is free. Long prompts prefer the first endpoints of a rendezvous order within pool and failure domain, as large a share of them as they have in the prompt work. A prompt is long from 1.5 times the mean work.

The cost is a field of its own in EndpointView, so that the expected first event, which sets the timers, does not contain it.

--- a/Libraries/LibRelay/EndpointCost.cpp
+++ b/Libraries/LibRelay/EndpointCost.cpp
@@ -114,9 +114,28 @@
         CachesPrefix(aEndpoint, aWork.mSharedPrefixHash, aNow)
       ? 1
       : 0;
+  if (const auto placement = SizePlacementOf(aEndpoint, aWork, aBasis)) {
+    view.mPreferenceSeconds = placement->mSeconds;
+  }
   return view;
 }
 
+std::optional<SizePlacement> SizePlacementOf(const Endpoint& aEndpoint,
+                                             const AttemptWork& aWork,
+                                             const CostBasis& aBasis)
+{
+  if (aBasis.mSizeStrength <= 0 || aBasis.mMix.mLongShare <= 0) {
+    return std::nullopt;
+  }
+  const double seconds =
+    PromptWorkSeconds(aWork.mPromptTokens, 0, aBasis.mSecondsPerToken);
+  return SizePlacement{ IsLongPrompt(aBasis.mMix, seconds),
+                        SizeAffinitySeconds(aEndpoint.mSizePosition,
+                                            aBasis.mMix,
+                                            seconds,
+                                            aBasis.mSizeStrength) };
+}
+
 void AdmitEjectedIfAlone(std::vector<EndpointView>& aViews)
 {
   const bool areAllEjected =
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -36,6 +36,28 @@
     std::move(aEndpoint.mPlacedWork), aWork.mModel, aWork.mPromptTokens, aNow);
 }
 
+/// Sets the positions of the endpoints in each pool and failure domain.
+void UpdateSizePositions(
+  const std::map<std::string, std::shared_ptr<Endpoint>>& aEndpoints)
+{
+  std::map<std::pair<std::string, std::string>, std::vector<Endpoint*>> groups;
+  for (const auto& [id, endpoint] : aEndpoints) {
+    groups[{ endpoint->mRecord.mPool, endpoint->mRecord.mFailureDomain }]
+      .push_back(endpoint.get());
+  }
+  for (const auto& [group, endpoints] : groups) {
+    std::vector<std::uint64_t> keys;
+    keys.reserve(endpoints.size());
+    for (const Endpoint* endpoint : endpoints) {
+      keys.push_back(HashOf(endpoint->mRecord.mId));
+    }
+    const std::vector<SizePosition> positions = SizePositions(keys);
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+      endpoints[index]->mSizePosition = positions[index];
+    }
+  }
+}
+
 } // namespace
 
 std::uint64_t HashOf(const std::string& aText)
@@ -84,6 +106,7 @@
     endpoint->mIsRemoved = kept == next.end() || kept->second != endpoint;
   }
   mEndpoints = std::move(next);
+  UpdateSizePositions(mEndpoints);
 }
 
 std::vector<std::shared_ptr<Endpoint>> EndpointRegistry::EndpointsOf(
@@ -170,6 +193,11 @@
     mix == mPromptWork.end()
       ? PromptWorkSeconds(aQuery.mWork.mPromptTokens, 0, basis.mSecondsPerToken)
       : mix->second.mMeanSeconds;
+  if (mix != mPromptWork.end()) {
+    basis.mMix = mix->second;
+    basis.mSizeStrength =
+      SizeAffinityStrength(FirstEventGoalRatio(aQuery.mPool));
+  }
   return basis;
 }
 
@@ -202,6 +230,8 @@
       });
     selection.mEndpoint = all[*decision.mIndex];
     selection.mExpectedFirstEventSeconds = chosen->mSecondsPerRequest;
+    selection.mSizePlacement =
+      SizePlacementOf(*selection.mEndpoint, aQuery.mWork, basis);
   }
   return selection;
 }
--- a/Libraries/LibRelay/PromptWork.cpp
+++ b/Libraries/LibRelay/PromptWork.cpp
@@ -69,7 +69,11 @@
 PromptWorkMix WithPrompt(PromptWorkMix aMix, double aSeconds)
 {
   aMix.mSampleCount = std::min(aMix.mSampleCount + 1, 1 / kPromptWeight);
-  aMix.mMeanSeconds += (aSeconds - aMix.mMeanSeconds) / aMix.mSampleCount;
+  const double weight = 1 / aMix.mSampleCount;
+  aMix.mMeanSeconds += weight * (aSeconds - aMix.mMeanSeconds);
+  const bool isLong = aSeconds > kLongPromptFactor * aMix.mMeanSeconds;
+  aMix.mLongSeconds += weight * ((isLong ? aSeconds : 0) - aMix.mLongSeconds);
+  aMix.mLongShare += weight * ((isLong ? 1 : 0) - aMix.mLongShare);
   return aMix;
 }
 
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -110,7 +110,8 @@
                                           : seconds;
   const double load =
     (EstimatedInFlight(aEndpoint, aQuery, inFlightServiceSeconds) + 1) / slots;
-  double score = seconds + inFlightServiceSeconds * ExpectedWait(load);
+  double score = seconds + inFlightServiceSeconds * ExpectedWait(load) +
+                 aEndpoint.mPreferenceSeconds;
   score += inFlightServiceSeconds * kFailurePenalty * aEndpoint.mErrorRate;
   if (aEndpoint.mReserved && aQuery.mReservedShare > 0) {
     score += inFlightServiceSeconds * kReservedPenalty;
--- a/include/Acaciavale/LibRelay/EndpointCost.h
+++ b/include/Acaciavale/LibRelay/EndpointCost.h
@@ -14,6 +14,8 @@
   /// Assumed prompt work of a waiting request of another VM, whose model and
   /// length are not known.
   double mSecondsPerWaiting = 0;
+  PromptWorkMix mMix;       ///< The prompts of the pool.
+  double mSizeStrength = 0; ///< See SizeAffinityStrength.
 
   auto operator<=>(const CostBasis&) const = default;
 };
@@ -42,6 +44,12 @@
                     const CostBasis& aBasis,
                     TimePoint aNow);
 
+/// How the size of the work's prompt affects its cost at the endpoint; empty
+/// if it does not.
+std::optional<SizePlacement> SizePlacementOf(const Endpoint& aEndpoint,
+                                             const AttemptWork& aWork,
+                                             const CostBasis& aBasis);
+
 /// Admits ejected endpoints if there are no others: an attempt is better than a
 /// refusal.
 void AdmitEjectedIfAlone(std::vector<EndpointView>& aViews);
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -5,7 +5,7 @@
 #include <Acaciavale/LibRelay/CallerRequest.h>
 #include <Acaciavale/LibRelay/EndpointAnnouncements.h>
 #include <Acaciavale/LibRelay/PromptLatencyModel.h>
-#include <Acaciavale/LibRelay/PromptWork.h>
+#include <Acaciavale/LibRelay/SizeAffinity.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
 #include <Acaciavale/LibRouting/EndpointHealth.h>
 
@@ -83,7 +83,8 @@
   TimePoint mLastAttemptAt{}; ///< Start of this VM's latest attempt.
   /// Open attempts of this VM that have not received a first event.
   std::int32_t mWaitingAttempts = 0;
-  PlacedWork mPlacedWork; ///< Prompts of these waiting attempts.
+  SizePosition mSizePosition; ///< Among the endpoints of pool and domain.
+  PlacedWork mPlacedWork;     ///< Prompts of these waiting attempts.
   EndpointHealth mHealth;
   InFlightServiceTime mTurnover;
   /// Ratio of the time to the first event to the expected time in the pool.
@@ -150,6 +151,16 @@
   std::int32_t mMaximumInFlight = 0;
 };
 
+/// The prompt's size among those of its pool, and the cost of the endpoint that
+/// was chosen for it under the preference by size.
+struct SizePlacement
+{
+  bool mIsLong = false;
+  double mSeconds = 0; ///< 0 at the endpoints that it prefers.
+
+  auto operator<=>(const SizePlacement&) const = default;
+};
+
 struct EndpointSelection
 {
   std::shared_ptr<Endpoint> mEndpoint; ///< Null if no endpoint is available.
@@ -162,6 +173,8 @@
   LimitedEndpoints mLimited;
   bool mIsAnyFull = false; ///< Some of them are at their limit of attempts.
   double mExpectedFirstEventSeconds = 0;
+  /// How the prompt's size affected the choice; empty while it does not.
+  std::optional<SizePlacement> mSizePlacement;
   std::string_view mReason;
 };
 
--- a/include/Acaciavale/LibRelay/PromptWork.h
+++ b/include/Acaciavale/LibRelay/PromptWork.h
@@ -53,12 +53,19 @@
 /// the earliest: until then, it may be reading prompts of other VMs.
 double RemainingWork(const PlacedWork& aPlaced, TimePoint aNow);
 
+/// Work above which a prompt is long, as a multiple of the mean. Prompts of
+/// about one size are all below it. In deployments with hard load, long prompts
+/// have three to four times the mean, and short ones at most 0.8 times.
+inline constexpr double kLongPromptFactor = 1.5;
+
 /// The prompt work of the requests of a pool, of whatever model, smoothed over
 /// the attempts of this VM.
 struct PromptWorkMix
 {
   double mSampleCount = 0; ///< Number of samples, up to the averaging window.
   double mMeanSeconds = 0; ///< Mean work of a prompt.
+  double mLongSeconds = 0; ///< Part of this mean that long prompts make up.
+  double mLongShare = 0;   ///< Share of the prompts that are long.
 
   auto operator<=>(const PromptWorkMix&) const = default;
 };
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -36,7 +36,9 @@
   double mInFlightServiceSeconds = 0;
   std::int32_t mSlots = 1;       ///< Requests served concurrently.
   double mCachedPrefixShare = 0; ///< Share of the prompt in the prefix cache.
-  double mErrorRate = 0;         ///< Recent share of failed requests, 0 to 1.
+  /// Cost beyond the time until the request is served, for other requests.
+  double mPreferenceSeconds = 0;
+  double mErrorRate = 0; ///< Recent share of failed requests, 0 to 1.
 
   auto operator<=>(const EndpointView&) const = default;
 };
