--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -5,6 +5,7 @@
 #include <Acaciavale/LibRelay/CallerRequest.h>
 #include <Acaciavale/LibRelay/EndpointAnnouncements.h>
 #include <Acaciavale/LibRelay/PromptLatencyModel.h>
+#include <Acaciavale/LibRelay/SizeAffinity.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
 #include <Acaciavale/LibRouting/EndpointHealth.h>
 
@@ -82,8 +83,8 @@
   TimePoint mLastAttemptAt{}; ///< Start of this VM's latest attempt.
   /// Open attempts of this VM that have not received a first event.
   std::int32_t mWaitingAttempts = 0;
-  /// Prompt tokens of these waiting attempts.
-  std::int64_t mWaitingPromptTokens = 0;
+  SizePosition mSizePosition; ///< Among the endpoints of pool and domain.
+  PlacedWork mPlacedWork;     ///< Prompts of these waiting attempts.
   EndpointHealth mHealth;
   InFlightServiceTime mTurnover;
   /// Ratio of the time to the first event to the expected time in the pool.
@@ -150,6 +151,16 @@
   std::int32_t mMaximumInFlight = 0;
 };
 
+/// The prompt's size among those of its pool, and the cost of the endpoint that
+/// was chosen for it under the preference by size.
+struct SizePlacement
+{
+  bool mIsLong = false;
+  double mSeconds = 0; ///< 0 at the endpoints that it prefers.
+
+  auto operator<=>(const SizePlacement&) const = default;
+};
+
 struct EndpointSelection
 {
   std::shared_ptr<Endpoint> mEndpoint; ///< Null if no endpoint is available.
@@ -162,9 +173,14 @@
   LimitedEndpoints mLimited;
   bool mIsAnyFull = false; ///< Some of them are at their limit of attempts.
   double mExpectedFirstEventSeconds = 0;
+  /// How the prompt's size affected the choice; empty while it does not.
+  std::optional<SizePlacement> mSizePlacement;
   std::string_view mReason;
 };
 
+struct CostBasis;
+struct EndpointPermit;
+
 class EndpointRegistry
 {
 public:
@@ -266,6 +282,11 @@
   void RecordFirstEventGoalRatio(const std::string& aPool, double aGoalRatio);
 
 private:
+  /// What the registry knows of the cost of the query's work.
+  CostBasis CostBasisOf(const EndpointSelectionQuery& aQuery) const;
+  /// The permit for the endpoint; empty if its requests are not bounded.
+  std::optional<EndpointPermit> PermitOf(Endpoint& aEndpoint,
+                                         TimePoint aNow) const;
   /// The latency model of the pool and the work's model; an empty one without
   /// samples.
   PoolLatencyModel LatencyModelOf(const std::string& aPool,
@@ -276,6 +297,10 @@
   /// The bound on the requests to the endpoint at aNow; empty: none.
   std::optional<RateBound> BoundOf(const Endpoint& aEndpoint,
                                    TimePoint aNow) const;
+  /// Adds the prompt of an attempt that starts to the endpoint's unread ones.
+  void PlacePrompt(Endpoint& aEndpoint,
+                   const AttemptWork& aWork,
+                   TimePoint aNow);
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
@@ -290,6 +315,7 @@
   /// Latency models by pool and model.
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
+  std::map<std::string, PromptWorkMix> mPromptWork;    ///< Prompt work by pool.
   std::map<std::string, double> mFirstEventGoalRatios; ///< Goal ratios by pool.
 };
 
