Read Length-Hint, and place only work that fits an engine's memory

Work was estimated with the maximum output, which is several times what most answers have, and nothing compared the work placed on an engine with its memory.

HeaderCodec decodes Length-Hint into CallerRequest::mExpectedOutputTokens; a text that is no positive number is ignored. OutputEstimate takes the error of the hint into account: 1.38 times for the mean (engine time, cost and value of an answer), 2.8 times for memory, never above the stated maximum. An endpoint counts as full if prompt and output do not fit next to this VM's open attempts there (Pool::mEngineCacheTokens). An engine without other work of this VM takes any work, since the estimate may be wrong.

Counters for placements by size and for engines passed over, and both in the log line of the request.

--- a/Libraries/LibRelay/EndpointCandidates.cpp
+++ b/Libraries/LibRelay/EndpointCandidates.cpp
@@ -1,4 +1,5 @@
 #include <Acaciavale/LibRelay/EndpointCandidates.h>
+#include <Acaciavale/LibRelay/OutputEstimate.h>
 
 #include <algorithm>
 #include <limits>
@@ -69,6 +70,13 @@
       found.mFull += 1;
       continue;
     }
+    if (!FitsEngineMemory(endpoint.mMemoryTokens,
+                          aQuery.mWork.mMemoryTokens,
+                          aQuery.mEngineMemoryTokens)) {
+      found.mFull += 1;
+      found.mWithoutMemory += 1;
+      continue;
+    }
     const auto permit = aRules.mPermitOf(endpoint);
     if (permit && permit->mNextAt > aNow) {
       found.mLimited = WithEndpoint(
@@ -88,6 +96,7 @@
   const bool hasRoomNowhere =
     aCandidates.mFull + aCandidates.mLimited.mCount == aCandidates.mUsable;
   selection.mIsFull = mayWait && hasRoomNowhere;
+  selection.mWithoutMemory = aCandidates.mWithoutMemory;
   if (hasRoomNowhere) {
     selection.mLimited = aCandidates.mLimited;
     selection.mIsAnyFull = aCandidates.mFull > 0;
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -263,6 +263,7 @@
                                      TimePoint aNow)
 {
   aEndpoint.mInFlight += 1;
+  aEndpoint.mMemoryTokens += aWork.mMemoryTokens;
   aEndpoint.mLastAttemptAt = aNow;
   const auto bound = BoundOf(aEndpoint, aNow);
   aEndpoint.mPermits =
@@ -352,6 +353,7 @@
                                  TimePoint aNow)
 {
   aEndpoint.mInFlight -= 1;
+  aEndpoint.mMemoryTokens -= aWork.mMemoryTokens;
   if (!aHadFirstEvent) {
     RemovePrompt(aEndpoint, aWork, aNow);
     aEndpoint.mWaitingAttempts -= 1;
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -198,6 +198,7 @@
     kMinimumSlots,
     static_cast<std::int32_t>(std::ceil(
       kSlotShareFactor * slots / static_cast<double>(mState->mLiveVms))));
+  query.mEngineMemoryTokens = pool == nullptr ? 0 : pool->mEngineCacheTokens;
   if (pool != nullptr && pool->mMaxConnections > 0) {
     query.mMaximumInFlight =
       std::min(query.mMaximumInFlight,
@@ -234,6 +235,7 @@
   mQuietUntil = selection.mQuietUntil;
   mLimited = selection.mLimited;
   mIsAnyEndpointFull = selection.mIsAnyFull;
+  NoteMemory(selection);
   return selection;
 }
 
@@ -277,6 +279,7 @@
   attempt.mStartedAt = now;
   attempt.mEventParser = EventStreamParser(mState->mCodec.mEventFields);
   LogEndOfQuiet(*attempt.mEndpoint);
+  NotePlacement(aSelection);
   BeginEvidence(attempt);
   BeginTrial(attempt);
   mTriedEndpoints.push_back(attempt.mEndpoint.get());
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -128,6 +128,10 @@
   void Finish(std::string_view aOutcome);
   double SecondsLeft() const;
 
+  // ExchangePlacement.cpp: what decided about the choice of an endpoint.
+  void NoteMemory(const EndpointSelection& aSelection);
+  void NotePlacement(const EndpointSelection& aSelection);
+
   // ExchangeStop.cpp: requests that are open while the VM stops.
   bool IsCutByStop() const;
   bool RefuseLate();
@@ -219,6 +223,7 @@
   /// and whether others were full.
   LimitedEndpoints mLimited;
   bool mIsAnyEndpointFull = false;
+  bool mHasLackedMemory = false; ///< At an engine, in an earlier selection.
   /// Latest error response of an endpoint, for the caller if no retry succeeds.
   std::optional<ResponseHead> mErrorResponseHead;
   std::shared_ptr<const std::string> mErrorResponseBody;
--- a/Libraries/LibRelay/ExchangeModels.cpp
+++ b/Libraries/LibRelay/ExchangeModels.cpp
@@ -1,5 +1,7 @@
 #include "Exchange.h"
 
+#include <Acaciavale/LibRelay/OutputEstimate.h>
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -23,7 +25,11 @@
   work.mModel =
     mRoute->mModels.empty() ? mRequest.mModel : mRoute->mModels[aModel];
   work.mPromptTokens = mRequest.mPromptTokens;
-  work.mOutputTokens = mRequest.mOutputTokens;
+  work.mOutputTokens = ExpectedOutputTokens(mRequest.mOutputTokens,
+                                            mRequest.mExpectedOutputTokens);
+  work.mMemoryTokens = work.mPromptTokens + LikelyMaximumOutputTokens(
+                                              mRequest.mOutputTokens,
+                                              mRequest.mExpectedOutputTokens);
   if (mRequest.mParts.size() > 1) {
     // NOTE: Only this request or session uses the last part of the prompt.
     std::string shared = work.mModel;
@@ -40,8 +46,10 @@
 {
   ModelQuery query;
   const Pool* const pool = FindPool(*mSettings, mPool);
+  const auto outputTokens = static_cast<double>(ExpectedOutputTokens(
+    mRequest.mOutputTokens, mRequest.mExpectedOutputTokens));
   const double thousandTokens =
-    (static_cast<double>(mRequest.mOutputTokens) +
+    (outputTokens +
      kPromptTokenCostShare * static_cast<double>(mRequest.mPromptTokens)) /
     1000;
   const std::vector<double>& quality = mState->mOptions.mModelQuality;
@@ -74,11 +82,10 @@
                       mState->mOptions.mEngineSecondValue);
   query.mGoalSecondsLeft =
     InSeconds(mRoute->mFirstEventGoal - (MonotonicNow() - mArrivedAt));
-  query.mAnswerValue =
-    mState->mOptions.mAnswerValue *
-    (static_cast<double>(mRequest.mPromptTokens) +
-     kGeneratedTokenValue * static_cast<double>(mRequest.mOutputTokens)) /
-    1000;
+  query.mAnswerValue = mState->mOptions.mAnswerValue *
+                       (static_cast<double>(mRequest.mPromptTokens) +
+                        kGeneratedTokenValue * outputTokens) /
+                       1000;
   return query;
 }
 
--- a/Tests/Platform/Fuzz/HttpTargets.cpp
+++ b/Tests/Platform/Fuzz/HttpTargets.cpp
@@ -25,7 +25,8 @@
 constexpr char kPost[] =
   "POST /once/x?a=1 HTTP/1.1\r\nHost: a.example:80\r\nAttempt-Id: 1\r\n"
   "Deadline-Ms: 4000\r\nKey: key-1\r\nModel: *\r\nToken-Usage: 1460,80\r\n"
-  "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\nSession: s\r\n"
+  "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"
+  "Length-Hint: 90\r\nSession: s\r\n"
   "Last-Event-Id: 3\r\nConnection: keep-alive, x\r\nContent-Length: 4\r\n\r\n"
   "body";
 constexpr char kChunks[] =
--- a/Tests/Platform/TestEndToEnd.cpp
+++ b/Tests/Platform/TestEndToEnd.cpp
@@ -205,6 +205,7 @@
       "body",
       { { "Deadline-Ms", most },
         { "Token-Usage", most + "," + most },
+        { "Length-Hint", most },
         { "Prompt-Prefix", "a:" + most + ",b:" + most + ",c:1" } } });
   LONGS_EQUAL(200, response.mHead.result_int());
 }
--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -39,7 +39,9 @@
   /// Last event that the caller received; the stream resumes after it.
   std::optional<std::int64_t> mLastEventId;
   std::int64_t mPromptTokens = 0;
-  std::int64_t mOutputTokens = 0;
+  std::int64_t mOutputTokens = 0; ///< The most that the caller accepts.
+  /// The caller's estimate of its output, which is often far off.
+  std::optional<std::int64_t> mExpectedOutputTokens;
   std::vector<PromptPart> mParts; ///< Parts in the order of the prompt.
 
   auto operator<=>(const CallerRequest&) const = default;
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -47,7 +47,9 @@
   std::int64_t mPromptTokens = 0;
   /// Number of prompt tokens in the prefix that other requests share.
   std::int64_t mSharedPrefixTokens = 0;
-  std::int64_t mOutputTokens = 0;
+  std::int64_t mOutputTokens = 0; ///< Expected mean.
+  /// Engine memory that it is likely not to exceed: prompt and output.
+  std::int64_t mMemoryTokens = 0;
   /// Hash of the shared prompt prefix and the model; 0 without such a prefix.
   std::uint64_t mSharedPrefixHash = 0;
 
@@ -80,6 +82,8 @@
   /// The endpoint is no longer in the platform's list.
   bool mIsRemoved = false;
   std::int32_t mInFlight = 0; ///< Open attempts of this VM.
+  /// Engine memory that these attempts need, in tokens.
+  std::int64_t mMemoryTokens = 0;
   TimePoint mLastAttemptAt{}; ///< Start of this VM's latest attempt.
   /// Open attempts of this VM that have not received a first event.
   std::int32_t mWaitingAttempts = 0;
@@ -149,6 +153,8 @@
   std::function<bool(const std::string& aVersion)> mAcceptsVersion;
   /// Maximum number of open attempts of this VM per endpoint; 0 for no limit.
   std::int32_t mMaximumInFlight = 0;
+  /// Memory of an engine of the pool, in tokens; 0 if not known.
+  std::int64_t mEngineMemoryTokens = 0;
 };
 
 /// The prompt's size among those of its pool, and the cost of the endpoint that
@@ -172,6 +178,8 @@
   /// that may run the work have limits or are full.
   LimitedEndpoints mLimited;
   bool mIsAnyFull = false; ///< Some of them are at their limit of attempts.
+  /// Endpoints that only lack memory for the work; they count as full.
+  std::uint32_t mWithoutMemory = 0;
   double mExpectedFirstEventSeconds = 0;
   /// How the prompt's size affected the choice; empty while it does not.
   std::optional<SizePlacement> mSizePlacement;
