Weight the preference by prompt size with the prompts that it protects

In trials with a queueing fake, the preference made no difference: the work of one prompt is small beside the stretch of the expected time at a busy endpoint.

The cost counts the short prompts per long one, as each of them is delayed, and is stretched by the slowness and the slots in use of the endpoint like the expected time.

Two expected costs in TestSizeAffinity have the factor now.

--- a/Libraries/LibRelay/EndpointCost.cpp
+++ b/Libraries/LibRelay/EndpointCost.cpp
@@ -103,10 +103,10 @@
   const double slotUsage = std::max(static_cast<double>(view.mOwnInFlight),
                                     reportWeight * view.mReportedInFlight) /
                            view.mSlots;
-  view.mSecondsPerRequest =
-    SlownessAt(aEndpoint, aNow) *
-    (aBasis.mExpectedSeconds + BacklogSeconds(aEndpoint, aBasis, aNow)) *
-    (1 + kBusySlowdown * slotUsage);
+  const double stretch =
+    SlownessAt(aEndpoint, aNow) * (1 + kBusySlowdown * slotUsage);
+  view.mSecondsPerRequest = stretch * (aBasis.mExpectedSeconds +
+                                       BacklogSeconds(aEndpoint, aBasis, aNow));
   view.mInFlightServiceSeconds = MeanInFlightSeconds(aEndpoint.mTurnover);
   view.mErrorRate = ExpectedErrorRate(aEndpoint.mHealth, aNow);
   view.mCachedPrefixShare =
@@ -115,7 +115,7 @@
       ? 1
       : 0;
   if (const auto placement = SizePlacementOf(aEndpoint, aWork, aBasis)) {
-    view.mPreferenceSeconds = placement->mSeconds;
+    view.mPreferenceSeconds = stretch * placement->mSeconds;
   }
   return view;
 }
--- a/Libraries/LibRelay/SizeAffinity.cpp
+++ b/Libraries/LibRelay/SizeAffinity.cpp
@@ -70,14 +70,16 @@
     return 0;
   }
   const double longShare = LongShareOfEndpoint(aPosition, longWorkShare);
-  // NOTE: A long prompt delays the short ones that arrive while it is read by
-  // up
-  //       to its work. A short one delays long ones by little, but meets them.
+  // NOTE: So many short prompts arrive at an endpoint for each long one, which
+  //       delays them by its work. The factor applies to both sizes, so that
+  //       neither leaves its endpoints to the other before the other does.
+  const double shortPerLong = (1 - aMix.mLongShare) / aMix.mLongShare;
   const double meanLongSeconds = aMix.mLongSeconds / aMix.mLongShare;
-  return aStrength *
-         (IsLongPrompt(aMix, aSeconds)
-            ? (1 - longShare) * aSeconds
-            : longShare * kUnreadShareOfMetPrompt * meanLongSeconds);
+  const double seconds =
+    IsLongPrompt(aMix, aSeconds)
+      ? (1 - longShare) * aSeconds
+      : longShare * kUnreadShareOfMetPrompt * meanLongSeconds;
+  return aStrength * shortPerLong * seconds;
 }
 
 } // namespace Acaciavale::Relay
--- a/Tests/LibRelay/TestSizeAffinity.cpp
+++ b/Tests/LibRelay/TestSizeAffinity.cpp
@@ -61,12 +61,14 @@
   // Of 0.3 + 6 * 0.02, 0.3 is the work of long prompts: seven of ten endpoints.
   DOUBLES_EQUAL(0.71, LongWorkShare(mix), 0.05);
   DOUBLES_EQUAL(0, SizeAffinitySeconds({ 0, 10 }, mix, kLongSeconds, 1), 1e-9);
-  DOUBLES_EQUAL(
-    kLongSeconds, SizeAffinitySeconds({ 9, 10 }, mix, kLongSeconds, 1), 1e-9);
+  // Each long prompt delays six short ones.
+  DOUBLES_EQUAL(6 * kLongSeconds,
+                SizeAffinitySeconds({ 9, 10 }, mix, kLongSeconds, 1),
+                0.1);
   DOUBLES_EQUAL(0, SizeAffinitySeconds({ 9, 10 }, mix, kShortSeconds, 1), 1e-9);
-  DOUBLES_EQUAL(kLongSeconds / 2,
+  DOUBLES_EQUAL(6 * kLongSeconds / 2,
                 SizeAffinitySeconds({ 0, 10 }, mix, kShortSeconds, 1),
-                1e-6);
+                0.1);
 }
 
 /// Guards against a share of endpoints that is too small for the long prompts,
@@ -219,7 +221,7 @@
 }
 
 /// Guards against long prompts that queue behind each other while endpoints of
-/// the short ones are free: the preference is worth no more than the work.
+/// the short ones are free: the preference is worth a few prompts, not more.
 TEST(SizeAffinityOfEndpoints, BacklogOutweighsThePreference)
 {
   StrainPool(0.6);
