--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -63,12 +63,20 @@
   auto operator<=>(const AttemptOptions&) const = default;
 };
 
+/// Limits on a reported pace. No deployment states such values; without limits,
+/// one wrong figure would take an endpoint out of the choice or give it all.
+inline constexpr double kMinimumPace = 0.1;
+inline constexpr double kMaximumPace = 20;
+
 /// The load that an endpoint reports with a response, in requests.
 struct ReportedLoad
 {
   std::int32_t mRunning = 0;
   std::int32_t mWaiting = 0;
   std::int32_t mSlots = 0;
+  /// How long work takes there now; 1 is normal, 2 twice as long. Empty if the
+  /// endpoint does not state it.
+  std::optional<double> mPace{};
 
   auto operator<=>(const ReportedLoad&) const = default;
 };
