Choose endpoints by their reported pace

An endpoint that is slow for part of a second counted as slow for seconds, as a slow response only showed in its lasting slowness. EndpointPace keeps the latest figure; its factor on the expected time approaches 1 with a half-life that is estimated for each pool from pairs of successive figures. Samples of slowness are divided by the pace in the same response. Choose can also rank candidates and be restricted to some, for the inquiries that follow.

--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -283,9 +283,9 @@
     const double backlog =
       secondsPerToken * static_cast<double>(endpoint.mWaitingPromptTokens) +
       secondsPerWaiting * stillWaiting;
-    view.mSecondsPerRequest = SlownessAt(endpoint, aNow) *
-                              (expectedSeconds + backlog) *
-                              (1 + kBusySlowdown * slotUsage);
+    view.mSecondsPerRequest =
+      SlownessAt(endpoint, aNow) * (expectedSeconds + backlog) *
+      (1 + kBusySlowdown * slotUsage) * PaceFactorOf(endpoint, aNow);
     view.mInFlightServiceSeconds = MeanInFlightSeconds(endpoint.mTurnover);
     view.mErrorRate = ExpectedErrorRate(endpoint.mHealth, aNow);
     view.mCachedPrefixShare =
@@ -316,6 +316,8 @@
   }
   query.mPrefillSeconds =
     secondsPerToken * static_cast<double>(aQuery.mWork.mSharedPrefixTokens);
+  query.mRankedCount = aQuery.mRankedCount;
+  query.mOnly = IndicesOf(aQuery.mOnly, all);
   const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
   EndpointSelection selection;
   const bool mayWait = full > 0 || limited.mOwnPerSecond > 0;
@@ -328,6 +330,9 @@
     selection.mQuietUntil = quietUntil;
   }
   selection.mReason = decision.mReason;
+  for (const ScoredEndpoint& ranked : decision.mRanked) {
+    selection.mRanked.push_back({ all[ranked.mIndex], ranked.mScore });
+  }
   if (decision.mIndex) {
     selection.mEndpoint = all[*decision.mIndex];
     for (const EndpointView& view : views) {
@@ -365,15 +370,18 @@
 void EndpointRegistry::RecordFirstEvent(Endpoint& aEndpoint,
                                         const AttemptWork& aWork,
                                         double aSeconds,
-                                        TimePoint aNow)
+                                        TimePoint aNow,
+                                        std::optional<double> aPace)
 {
   aEndpoint.mWaitingPromptTokens -= aWork.mPromptTokens;
   aEndpoint.mWaitingAttempts -= 1;
   const double expectedSeconds =
     ExpectedFirstEventSeconds(aEndpoint.mRecord.mPool, aWork);
   if (expectedSeconds > 0) {
-    const double ratio = std::clamp(
-      aSeconds / expectedSeconds, kMinimumSlowness, kMaximumSlowness);
+    const double ratio =
+      std::clamp(aSeconds / aPace.value_or(1) / expectedSeconds,
+                 kMinimumSlowness,
+                 kMaximumSlowness);
     aEndpoint.mSlowness = SlownessAt(aEndpoint, aNow);
     aEndpoint.mSlowness += kSlownessWeight * (ratio - aEndpoint.mSlowness);
     aEndpoint.mSlownessUpdatedAt = aNow;
@@ -399,6 +407,7 @@
                                   const ReportedLoad& aLoad,
                                   TimePoint aNow)
 {
+  RecordPace(aEndpoint, aLoad, aNow);
   aEndpoint.mLoad = aLoad;
   aEndpoint.mLoadReportedAt = aNow;
   aEndpoint.mInFlightAtReport = aEndpoint.mInFlight;
--- a/Libraries/LibRelay/ExchangeStreams.cpp
+++ b/Libraries/LibRelay/ExchangeStreams.cpp
@@ -59,8 +59,13 @@
   aAttempt.mFirstEventSeconds =
     std::max(1e-6, InSeconds(now - aAttempt.mStartedAt));
   aAttempt.mJudged->mTiming.mFirstEventSeconds = aAttempt.mFirstEventSeconds;
-  mState->mRegistry.RecordFirstEvent(
-    *aAttempt.mEndpoint, aAttempt.mWork, aAttempt.mFirstEventSeconds, now);
+  mState->mRegistry.RecordFirstEvent(*aAttempt.mEndpoint,
+                                     aAttempt.mWork,
+                                     aAttempt.mFirstEventSeconds,
+                                     now,
+                                     aAttempt.mResponseInfo.mLoad
+                                       ? aAttempt.mResponseInfo.mLoad->mPace
+                                       : std::nullopt);
   mState->mRegistry.RecordFirstEventGoalRatio(
     mPool,
     aAttempt.mFirstEventSeconds /
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -223,6 +223,16 @@
                       Random& aRandom)
 {
   Shortlist shortlist;
+  if (!aQuery.mOnly.empty()) {
+    for (const EndpointView& endpoint : aEndpoints) {
+      if (std::find(aQuery.mOnly.begin(),
+                    aQuery.mOnly.end(),
+                    endpoint.mIndex) != aQuery.mOnly.end()) {
+        shortlist.Add(endpoint, aQuery);
+      }
+    }
+    return shortlist;
+  }
   const bool isSampled = aQuery.mLocalSampleSize + aQuery.mRemoteSampleSize > 0;
   if (isSampled || aEndpoints.size() > kMaxScored) {
     if (isSampled) {
@@ -277,13 +287,38 @@
   return known > 0 ? sum / known : kUnknownSecondsPerRequest;
 }
 
+/// Adds the endpoint to those with the lowest scores, in ascending order. An
+/// endpoint may be on the shortlist twice.
+void AddRanked(std::vector<ScoredEndpoint>& aRanked,
+               const ScoredEndpoint& aEndpoint,
+               std::size_t aCount)
+{
+  const auto isSame = [&aEndpoint](const ScoredEndpoint& aOther) {
+    return aOther.mIndex == aEndpoint.mIndex;
+  };
+  if (std::any_of(aRanked.begin(), aRanked.end(), isSame)) {
+    return;
+  }
+  const auto place = std::upper_bound(
+    aRanked.begin(),
+    aRanked.end(),
+    aEndpoint,
+    [](const ScoredEndpoint& aLeft, const ScoredEndpoint& aRight) {
+      return aLeft.mScore < aRight.mScore;
+    });
+  aRanked.insert(place, aEndpoint);
+  aRanked.resize(std::min(aRanked.size(), aCount));
+}
+
 } // namespace
 
 EndpointDecision ChooseEndpoint(const std::vector<EndpointView>& aEndpoints,
                                 const EndpointQuery& aQuery,
                                 Random& aRandom)
 {
-  EndpointDecision best{ std::nullopt, 0, "No endpoint may take the work." };
+  EndpointDecision best{
+    std::nullopt, 0, "No endpoint may take the work.", {}
+  };
   std::optional<double> preferred;
   ChoiceContext context;
   if (aQuery.mPrefixHash != 0) {
@@ -294,9 +329,13 @@
   context.mMeanServiceSeconds = MeanServiceSeconds(shortlist);
   context.mTriedDomains = TriedDomains(aEndpoints, aQuery);
   std::uint64_t ties = 0;
+  std::vector<ScoredEndpoint> ranked;
   for (std::size_t index = 0; index < shortlist.mCount; ++index) {
     const EndpointView& endpoint = *shortlist.mEndpoints[index];
     const double score = Score(endpoint, aQuery, context);
+    if (aQuery.mRankedCount > 0) {
+      AddRanked(ranked, { endpoint.mIndex, score }, aQuery.mRankedCount);
+    }
     if (aQuery.mSessionEndpoint == endpoint.mIndex) {
       preferred = score;
     }
@@ -304,14 +343,18 @@
     const bool wins = !best.mIndex || score < best.mScore ||
                       (score == best.mScore && aRandom.Below(ties) == 0);
     if (wins) {
-      best = { endpoint.mIndex, score, "Least expected time until served." };
+      best = {
+        endpoint.mIndex, score, "Least expected time until served.", {}
+      };
     }
   }
   if (preferred && *preferred <= best.mScore * kSessionEndpointSlack) {
     return { aQuery.mSessionEndpoint,
              *preferred,
-             "The session's last endpoint." };
+             "The session's last endpoint.",
+             std::move(ranked) };
   }
+  best.mRanked = std::move(ranked);
   return best;
 }
 
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -4,6 +4,7 @@
 #include <Acaciavale/LibCore/Time.h>
 #include <Acaciavale/LibRelay/CallerRequest.h>
 #include <Acaciavale/LibRelay/EndpointAnnouncements.h>
+#include <Acaciavale/LibRelay/EndpointPace.h>
 #include <Acaciavale/LibRelay/PromptLatencyModel.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
 #include <Acaciavale/LibRouting/EndpointHealth.h>
@@ -94,6 +95,7 @@
   std::int32_t mInFlightAtReport = 0;
   std::int32_t mWaitingAttemptsAtReport = 0;
   TimePoint mLoadReportedAt{};
+  EndpointPace mPace;     ///< Kept while later reports state no pace.
   TimePoint mColdUntil{}; ///< Latest time until which it is cold.
   PermitState mPermits;   ///< Use of this VM's permits, if there is a limit.
   /// This VM's rank for permits, and the list of VMs that it was derived from.
@@ -148,8 +150,24 @@
   std::function<bool(const std::string& aVersion)> mAcceptsVersion;
   /// Maximum number of open attempts of this VM per endpoint; 0 for no limit.
   std::int32_t mMaximumInFlight = 0;
+  /// If not empty, the only endpoints that are considered.
+  std::vector<const Endpoint*> mOnly;
+  std::size_t mRankedCount = 0; ///< Number of endpoints to rank.
 };
 
+/// An endpoint with its score in a selection.
+struct RankedEndpoint
+{
+  std::shared_ptr<Endpoint> mEndpoint;
+  double mScore = 0; ///< The lowest one is best.
+};
+
+/// The indices of the listed endpoints among all. If the list is not empty and
+/// none of it is there, an index that no endpoint has.
+std::vector<std::uint32_t> IndicesOf(
+  const std::vector<const Endpoint*>& aOnly,
+  const std::vector<std::shared_ptr<Endpoint>>& aAll);
+
 struct EndpointSelection
 {
   std::shared_ptr<Endpoint> mEndpoint; ///< Null if no endpoint is available.
@@ -163,6 +181,7 @@
   bool mIsAnyFull = false; ///< Some of them are at their limit of attempts.
   double mExpectedFirstEventSeconds = 0;
   std::string_view mReason;
+  std::vector<RankedEndpoint> mRanked; ///< As many as the query asks for.
 };
 
 class EndpointRegistry
@@ -222,10 +241,12 @@
   void RecordAttempt(Endpoint& aEndpoint,
                      const AttemptWork& aWork,
                      TimePoint aNow);
+  /// aPace is the pace that the endpoint reported with its response.
   void RecordFirstEvent(Endpoint& aEndpoint,
                         const AttemptWork& aWork,
                         double aSeconds,
-                        TimePoint aNow);
+                        TimePoint aNow,
+                        std::optional<double> aPace = std::nullopt);
   void RecordLoad(Endpoint& aEndpoint,
                   const ReportedLoad& aLoad,
                   TimePoint aNow);
@@ -235,6 +256,8 @@
   /// Applies the loads that endpoints reported to other VMs, if newer.
   void ApplyLoadReports(const std::vector<LoadReport>& aReports,
                         TimePoint aNow);
+  /// Whether any endpoint of the pool has reported its pace.
+  bool ReportsPace(const std::string& aPool) const;
   /// Records the end of an attempt.
   void RecordEnd(Endpoint& aEndpoint,
                  const AttemptWork& aWork,
@@ -276,6 +299,12 @@
   /// The bound on the requests to the endpoint at aNow; empty: none.
   std::optional<RateBound> BoundOf(const Endpoint& aEndpoint,
                                    TimePoint aNow) const;
+  /// Records the pace that an endpoint reported, if any.
+  void RecordPace(Endpoint& aEndpoint,
+                  const ReportedLoad& aLoad,
+                  TimePoint aNow);
+  /// The factor of the endpoint's current pace on the time that work takes.
+  double PaceFactorOf(const Endpoint& aEndpoint, TimePoint aNow) const;
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
@@ -290,6 +319,7 @@
   /// Latency models by pool and model.
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
+  std::map<std::string, PaceHistory> mPaceHistories;   ///< Histories by pool.
   std::map<std::string, double> mFirstEventGoalRatios; ///< Goal ratios by pool.
 };
 
--- a/include/Acaciavale/LibRouting/EndpointChoice.h
+++ b/include/Acaciavale/LibRouting/EndpointChoice.h
@@ -70,16 +70,33 @@
   /// urgent ones. If it is above 0, reserved endpoints get a score penalty. See
   /// ReservedShare and ReservedEndpoints.
   double mReservedShare = 0;
+  /// If not empty, the indices of the only endpoints that are scored. The home
+  /// of the prefix is still found among all endpoints.
+  std::vector<std::uint32_t> mOnly{};
+  /// Number of endpoints that the result ranks.
+  std::size_t mRankedCount = 0;
 
   auto operator<=>(const EndpointQuery&) const = default;
 };
 
+/// An endpoint with its score.
+struct ScoredEndpoint
+{
+  std::uint32_t mIndex = 0;
+  double mScore = 0;
+
+  auto operator<=>(const ScoredEndpoint&) const = default;
+};
+
 /// Result of a selection.
 struct EndpointDecision
 {
   std::optional<std::uint32_t> mIndex; ///< Empty if no endpoint is eligible.
   double mScore = 0;        ///< Expected seconds to completion, with penalties.
   std::string_view mReason; ///< Refers to a string literal.
+  /// The endpoints with the lowest scores, if the query asks for them. The
+  /// first one may differ from mIndex in case of equal scores.
+  std::vector<ScoredEndpoint> mRanked{};
 
   auto operator<=>(const EndpointDecision&) const = default;
 };
