Query candidates for their load before a long prompt is placed

Before the first attempt of a request with much prompt work, two or three candidates are now queried at the health path of the pool, and the request is placed by their answers. Only pools with a health path whose endpoints have reported a pace are affected. Failed answers are no evidence of health. CandidateInquiry decides, ExchangeInquiry carries it out.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -189,6 +189,10 @@
   query.mLiveVms = static_cast<std::uint32_t>(mState->mLiveVms);
   query.mCrossDomainSeconds = InSeconds(mState->mOptions.mCrossDomainCost);
   query.mTriedEndpoints = mTriedEndpoints;
+  query.mRankedCount = MayInquire() ? kMaximumInquired : 0;
+  if (mInquiry) {
+    query.mOnly = mInquiry->mOnly;
+  }
   const auto endpoints = mState->mRegistry.EndpointsOf(mPool);
   std::int32_t slots = 1;
   for (const auto& endpoint : endpoints) {
@@ -244,7 +248,9 @@
   }
   const EndpointSelection selection = SelectEndpoint();
   if (selection.mEndpoint) {
-    StartAttempt(selection);
+    if (!BeginInquiry(selection)) {
+      StartAttempt(selection);
+    }
     return true;
   }
   if (selection.mIsFull) {
@@ -403,6 +409,7 @@
   mIsOver = true;
   mTimer.Cancel();
   mQueueTimer.Cancel();
+  EndInquiry("abandoned");
   if (mQueueTicket) {
     PoolQueue& queue = mState->mQueues[mPool];
     queue.mQueue.Remove(*mQueueTicket);
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -51,6 +51,31 @@
   bool mIsPromptSound = false; ///< An answer has begun.
 };
 
+/// The queries of candidates before the first attempt of a request.
+struct Inquiry
+{
+  struct Candidate
+  {
+    std::shared_ptr<Endpoint> mEndpoint;
+    std::shared_ptr<OutboundCall> mCall;
+    InquiryAnswer mAnswer = InquiryAnswer::Open;
+    std::optional<double> mPace{};
+  };
+
+  explicit Inquiry(boost::asio::io_context& aLoop)
+    : mTimer(aLoop)
+  {
+  }
+
+  std::vector<Candidate> mCandidates; ///< In the order of their first ranking.
+  TimePoint mStartedAt{};
+  Duration mLimit{};
+  Timer mTimer;
+  bool mIsOver = false;
+  /// The only endpoints that SelectEndpoint considers; empty: all.
+  std::vector<const Endpoint*> mOnly;
+};
+
 /// Value of Retry-After for requests that are refused for lack of a current
 /// view or because of a stop.
 inline constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
@@ -128,6 +153,17 @@
   void Finish(std::string_view aOutcome);
   double SecondsLeft() const;
 
+  // ExchangeInquiry.cpp: queries of candidates before the first attempt.
+  /// Whether the selection is to rank candidates for an inquiry.
+  bool MayInquire() const;
+  /// Begins an inquiry if it is of use. Returns whether it did; the request is
+  /// then placed when the inquiry ends.
+  bool BeginInquiry(const EndpointSelection& aSelection);
+  void QueryCandidate(std::size_t aIndex, const std::string& aHealthPath);
+  void OnInquiryAnswer(std::size_t aIndex, const HealthAnswer& aAnswer);
+  void ContinueInquiry(bool aIsTimeUp);
+  void EndInquiry(std::string_view aOutcome);
+
   // ExchangeStop.cpp: requests that are open while the VM stops.
   bool IsCutByStop() const;
   bool RefuseLate();
@@ -209,6 +245,7 @@
   bool mIsStreaming = false;
   bool mHasWaitedForView = false;
   std::optional<WaitTicket> mQueueTicket;
+  std::unique_ptr<Inquiry> mInquiry; ///< Kept after its end; at most one.
   /// Versions whose endpoints the prompt crashes.
   std::vector<std::string> mExcludedVersions;
   std::uint64_t mTrialOf = 0; ///< For the next attempt; see Attempt.
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Random.h>
+#include <Acaciavale/LibRelay/CandidateInquiry.h>
 #include <Acaciavale/LibRelay/PlannedStop.h>
 #include <Acaciavale/LibRelay/RecentDurations.h>
 #include <Acaciavale/LibRelay/Relay.h>
@@ -60,7 +61,9 @@
   std::map<std::string, RetryBudget> mRetryBudgets; ///< Budgets by pool.
   /// Budgets for the retries of silent attempts, by pool.
   std::map<std::string, RetryBudget> mSilenceBudgets;
-  std::map<std::string, PoolQueue> mQueues; ///< Queues by pool.
+  std::map<std::string, PoolQueue> mQueues;             ///< Queues by pool.
+  std::map<std::string, InquiryTiming> mInquiryTimings; ///< By pool.
+  InquiryPermits mInquiryPermits;
   CrashEvidence mCrashEvidence;
   std::vector<QuarantinedPrompt> mQuarantine;
   std::vector<QuarantinedPrompt> mSuspectPrompts; ///< By mCrashEvidence.
--- a/Tests/Platform/TestReportedPace.cpp
+++ b/Tests/Platform/TestReportedPace.cpp
@@ -66,3 +66,46 @@
   CHECK((Decoded(R"([["i-1",3,1,8,7,1e300,4]])")[0].mLoad ==
          ReportedLoad{ 3, 1, 8, kMaximumPace }));
 }
+
+/// Guards against a health path that breaks the first line of a request, and
+/// against settings that are rejected because of it.
+TEST(ReportedPace, TheHealthPathIsPartOfTheSettings)
+{
+  const auto pathOf = [](const std::string& aField) {
+    const auto settings = DecodeSettings(
+      R"({"version":1,"routes":[],"services":[{"name":"s")" + aField + "}]}");
+    CHECK(settings.has_value());
+    return settings->mPools.front().mHealthPath;
+  };
+  STRCMP_EQUAL("/health", pathOf(R"(,"health-path":"/health")").c_str());
+  for (const char* const field : { "",
+                                   R"(,"health-path":7)",
+                                   R"(,"health-path":"")",
+                                   R"(,"health-path":"health")",
+                                   R"(,"health-path":"/a b")",
+                                   R"(,"health-path":"/a\r\nb")" }) {
+    STRCMP_EQUAL("", pathOf(field).c_str());
+  }
+}
+
+/// Guards against a query that another endpoint answers in place of the one
+/// that is meant, and against an answer of another process that counts.
+TEST(ReportedPace, AHealthQueryNamesItsEndpoint)
+{
+  const WireCodec codec = HeaderCodec();
+  const RequestHead query =
+    codec.mEncodeHealthQuery("i-1", "127.0.0.1:7", "/health");
+  CHECK(query.method() == boost::beast::http::verb::get);
+  CHECK(query.target() == "/health");
+  CHECK(query["Expect-Replica"] == "i-1");
+  ResponseHead answer;
+  answer.set("Replica-Load", "3,1,8,250");
+  answer.result(200);
+  CHECK((codec.mDecodeHealthAnswer(answer) ==
+         HealthAnswer{ false, ReportedLoad{ 3, 1, 8, 2.5 } }));
+  answer.result(421);
+  CHECK(
+    (codec.mDecodeHealthAnswer(answer) == HealthAnswer{ true, std::nullopt }));
+  answer.result(500);
+  CHECK((codec.mDecodeHealthAnswer(answer) == HealthAnswer{}));
+}
--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -105,6 +105,16 @@
   auto operator<=>(const ResponseInfo&) const = default;
 };
 
+/// The answer of an endpoint at its health path.
+struct HealthAnswer
+{
+  /// Another process has the endpoint's address.
+  bool mIsElsewhere = false;
+  std::optional<ReportedLoad> mLoad;
+
+  auto operator<=>(const HealthAnswer&) const = default;
+};
+
 /// An error response that the router itself creates.
 struct Refusal
 {
@@ -130,6 +140,12 @@
   /// Fields of an event, in lower case, beyond those of the format of server
   /// sent events.
   std::vector<std::string> mEventFields;
+  /// Creates the head of a query at the health path of an endpoint.
+  std::function<RequestHead(const std::string& aEndpointId,
+                            const std::string& aAddress,
+                            const std::string& aHealthPath)>
+    mEncodeHealthQuery;
+  std::function<HealthAnswer(const ResponseHead&)> mDecodeHealthAnswer;
 };
 
 } // namespace Acaciavale::Relay
--- a/include/Acaciavale/LibRelay/RelaySettings.h
+++ b/include/Acaciavale/LibRelay/RelaySettings.h
@@ -69,6 +69,8 @@
   /// Requests a second that an endpoint bears while it is cold; 0: as many as
   /// ever.
   double mColdRequestsPerSecond = 0;
+  /// Path at which endpoints answer at once with their load; empty: none.
+  std::string mHealthPath;
   bool mHasEngines = false;
   /// Capacity of one engine's key-value cache, in tokens.
   std::int64_t mEngineCacheTokens = 0;
