--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -217,12 +217,18 @@
   views.reserve(candidates.mIndices.size());
   for (const std::uint32_t index : candidates.mIndices) {
     views.push_back(ViewOf(*all[index], index, aQuery.mWork, basis, aNow));
+    views.back().mSecondsPerRequest *= PaceFactorOf(*all[index], aNow);
   }
   AdmitEjectedIfAlone(views);
-  const EndpointDecision decision =
-    ChooseEndpoint(views, MakeEndpointQuery(aQuery, basis), aRandom);
+  EndpointQuery query = MakeEndpointQuery(aQuery, basis);
+  query.mOnly = IndicesOf(aQuery.mOnly, all);
+  query.mRankedCount = aQuery.mRankedCount;
+  const EndpointDecision decision = ChooseEndpoint(views, query, aRandom);
   EndpointSelection selection = SelectionWithout(candidates);
   selection.mReason = decision.mReason;
+  for (const ScoredEndpoint& ranked : decision.mRanked) {
+    selection.mRanked.push_back({ all[ranked.mIndex], ranked.mScore });
+  }
   if (decision.mIndex) {
     const auto chosen = std::find_if(
       views.begin(), views.end(), [&decision](const EndpointView& aView) {
@@ -280,15 +286,18 @@
 void EndpointRegistry::RecordFirstEvent(Endpoint& aEndpoint,
                                         const AttemptWork& aWork,
                                         double aSeconds,
-                                        TimePoint aNow)
+                                        TimePoint aNow,
+                                        std::optional<double> aPace)
 {
   RemovePrompt(aEndpoint, aWork, aNow);
   aEndpoint.mWaitingAttempts -= 1;
   const double expectedSeconds =
     ExpectedFirstEventSeconds(aEndpoint.mRecord.mPool, aWork);
   if (expectedSeconds > 0) {
-    const double ratio = std::clamp(
-      aSeconds / expectedSeconds, kMinimumSlowness, kMaximumSlowness);
+    const double ratio =
+      std::clamp(aSeconds / aPace.value_or(1) / expectedSeconds,
+                 kMinimumSlowness,
+                 kMaximumSlowness);
     aEndpoint.mSlowness = SlownessAt(aEndpoint, aNow);
     aEndpoint.mSlowness += kSlownessWeight * (ratio - aEndpoint.mSlowness);
     aEndpoint.mSlownessUpdatedAt = aNow;
@@ -314,6 +323,7 @@
                                   const ReportedLoad& aLoad,
                                   TimePoint aNow)
 {
+  RecordPace(aEndpoint, aLoad, aNow);
   aEndpoint.mLoad = aLoad;
   aEndpoint.mLoadReportedAt = aNow;
   aEndpoint.mInFlightAtReport = aEndpoint.mInFlight;
--- a/include/Acaciavale/LibRelay/CallerRequest.h
+++ b/include/Acaciavale/LibRelay/CallerRequest.h
@@ -65,12 +65,20 @@
   auto operator<=>(const AttemptOptions&) const = default;
 };
 
+/// Limits on a reported pace. No deployment states such values; without limits,
+/// one wrong figure would take an endpoint out of the choice or give it all.
+inline constexpr double kMinimumPace = 0.1;
+inline constexpr double kMaximumPace = 20;
+
 /// The load that an endpoint reports with a response, in requests.
 struct ReportedLoad
 {
   std::int32_t mRunning = 0;
   std::int32_t mWaiting = 0;
   std::int32_t mSlots = 0;
+  /// How long work takes there now; 1 is normal, 2 twice as long. Empty if the
+  /// endpoint does not state it.
+  std::optional<double> mPace{};
 
   auto operator<=>(const ReportedLoad&) const = default;
 };
@@ -99,6 +107,16 @@
   auto operator<=>(const ResponseInfo&) const = default;
 };
 
+/// The answer of an endpoint at its health path.
+struct HealthAnswer
+{
+  /// Another process has the endpoint's address.
+  bool mIsElsewhere = false;
+  std::optional<ReportedLoad> mLoad;
+
+  auto operator<=>(const HealthAnswer&) const = default;
+};
+
 /// An error response that the router itself creates.
 struct Refusal
 {
@@ -124,6 +142,12 @@
   /// Fields of an event, in lower case, beyond those of the format of server
   /// sent events.
   std::vector<std::string> mEventFields;
+  /// Creates the head of a query at the health path of an endpoint.
+  std::function<RequestHead(const std::string& aEndpointId,
+                            const std::string& aAddress,
+                            const std::string& aHealthPath)>
+    mEncodeHealthQuery;
+  std::function<HealthAnswer(const ResponseHead&)> mDecodeHealthAnswer;
 };
 
 } // namespace Acaciavale::Relay
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -4,6 +4,7 @@
 #include <Acaciavale/LibCore/Time.h>
 #include <Acaciavale/LibRelay/CallerRequest.h>
 #include <Acaciavale/LibRelay/EndpointAnnouncements.h>
+#include <Acaciavale/LibRelay/EndpointPace.h>
 #include <Acaciavale/LibRelay/PromptLatencyModel.h>
 #include <Acaciavale/LibRelay/SizeAffinity.h>
 #include <Acaciavale/LibRouting/EndpointChoice.h>
@@ -99,6 +100,7 @@
   std::int32_t mInFlightAtReport = 0;
   std::int32_t mWaitingAttemptsAtReport = 0;
   TimePoint mLoadReportedAt{};
+  EndpointPace mPace;     ///< Kept while later reports state no pace.
   TimePoint mColdUntil{}; ///< Latest time until which it is cold.
   PermitState mPermits;   ///< Use of this VM's permits, if there is a limit.
   /// This VM's rank for permits, and the list of VMs that it was derived from.
@@ -155,6 +157,9 @@
   std::int32_t mMaximumInFlight = 0;
   /// Memory of an engine of the pool, in tokens; 0 if not known.
   std::int64_t mEngineMemoryTokens = 0;
+  /// If not empty, the only endpoints that are considered.
+  std::vector<const Endpoint*> mOnly;
+  std::size_t mRankedCount = 0; ///< Number of endpoints to rank.
 };
 
 /// The prompt's size among those of its pool, and the cost of the endpoint that
@@ -167,6 +172,19 @@
   auto operator<=>(const SizePlacement&) const = default;
 };
 
+/// An endpoint with its score in a selection.
+struct RankedEndpoint
+{
+  std::shared_ptr<Endpoint> mEndpoint;
+  double mScore = 0; ///< The lowest one is best.
+};
+
+/// The indices of the listed endpoints among all. If the list is not empty and
+/// none of it is there, an index that no endpoint has.
+std::vector<std::uint32_t> IndicesOf(
+  const std::vector<const Endpoint*>& aOnly,
+  const std::vector<std::shared_ptr<Endpoint>>& aAll);
+
 struct EndpointSelection
 {
   std::shared_ptr<Endpoint> mEndpoint; ///< Null if no endpoint is available.
@@ -184,6 +202,7 @@
   /// How the prompt's size affected the choice; empty while it does not.
   std::optional<SizePlacement> mSizePlacement;
   std::string_view mReason;
+  std::vector<RankedEndpoint> mRanked; ///< As many as the query asks for.
 };
 
 struct CostBasis;
@@ -246,10 +265,12 @@
   void RecordAttempt(Endpoint& aEndpoint,
                      const AttemptWork& aWork,
                      TimePoint aNow);
+  /// aPace is the pace that the endpoint reported with its response.
   void RecordFirstEvent(Endpoint& aEndpoint,
                         const AttemptWork& aWork,
                         double aSeconds,
-                        TimePoint aNow);
+                        TimePoint aNow,
+                        std::optional<double> aPace = std::nullopt);
   void RecordLoad(Endpoint& aEndpoint,
                   const ReportedLoad& aLoad,
                   TimePoint aNow);
@@ -259,6 +280,8 @@
   /// Applies the loads that endpoints reported to other VMs, if newer.
   void ApplyLoadReports(const std::vector<LoadReport>& aReports,
                         TimePoint aNow);
+  /// Whether any endpoint of the pool has reported its pace.
+  bool ReportsPace(const std::string& aPool) const;
   /// Records the end of an attempt.
   void RecordEnd(Endpoint& aEndpoint,
                  const AttemptWork& aWork,
@@ -309,6 +332,12 @@
   void PlacePrompt(Endpoint& aEndpoint,
                    const AttemptWork& aWork,
                    TimePoint aNow);
+  /// Records the pace that an endpoint reported, if any.
+  void RecordPace(Endpoint& aEndpoint,
+                  const ReportedLoad& aLoad,
+                  TimePoint aNow);
+  /// The factor of the endpoint's current pace on the time that work takes.
+  double PaceFactorOf(const Endpoint& aEndpoint, TimePoint aNow) const;
   /// Ejects endpoints of the pool that fail often.
   void Eject(const std::string& aPool, TimePoint aNow);
 
@@ -324,6 +353,7 @@
   std::map<std::pair<std::string, std::string>, PoolLatencyModel>
     mLatencyModels;
   std::map<std::string, PromptWorkMix> mPromptWork;    ///< Prompt work by pool.
+  std::map<std::string, PaceHistory> mPaceHistories;   ///< Histories by pool.
   std::map<std::string, double> mFirstEventGoalRatios; ///< Goal ratios by pool.
 };
 
