Keep an unsure answer until the larger model's stream has begun

Cause: Exchange::Escalate cancelled the attempt of the smaller model before the larger model had sent anything. If the larger model's endpoint was gone, refused or broke off, the caller got 504 at the deadline or 502, although an answer had been available.

Change: the attempt goes on and its events are kept within the byte budget. CascadeFallback.h decides until when. The answer is dropped with the first event of the larger model's stream, and delivered if that does not come in time, fails or ends without an event, and at the deadline and a stop of the VM if it is complete. A larger model is not asked for what it cannot finish in the time left. Fallbacks are counted by cause and stand in the request's line.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -66,6 +66,7 @@
   , mArrivedAt(MonotonicNow())
   , mTimer(mState->mLoop)
   , mQueueTimer(mState->mLoop)
+  , mFallbackTimer(mState->mLoop)
 {
   mState->mExchanges.insert(this);
 }
@@ -323,6 +324,10 @@
 
 void Exchange::Fail()
 {
+  if (KeptAnswer() != nullptr) {
+    FallBack(FallbackCause::Failed);
+    return;
+  }
   if (mIsStreaming) {
     mSession->Abort();
     Finish("the stream was aborted");
@@ -368,6 +373,9 @@
     return;
   }
   NoteOpenAttempts();
+  if (DeliverCompleteAnswer(FallbackCause::Deadline)) {
+    return;
+  }
   RecordDuration();
   if (mIsStreaming) {
     mSession->Abort();
@@ -403,6 +411,7 @@
   mIsOver = true;
   mTimer.Cancel();
   mQueueTimer.Cancel();
+  mFallbackTimer.Cancel();
   if (mQueueTicket) {
     PoolQueue& queue = mState->mQueues[mPool];
     queue.mQueue.Remove(*mQueueTicket);
@@ -418,6 +427,8 @@
   for (Attempt& attempt : mAttempts) {
     attempt.mBody = {};
     attempt.mBodyHold.Release();
+    attempt.mKept.reset();
+    attempt.mKeptHold.Release();
   }
   const double milliseconds = InSeconds(MonotonicNow() - mArrivedAt) * 1000;
   const std::string route = mRoute == nullptr ? "" : mRoute->mName;
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -2,6 +2,7 @@
 
 #include "RelayState.h"
 
+#include <Acaciavale/LibRelay/CascadeFallback.h>
 #include <Acaciavale/LibRelay/EventStreamParser.h>
 #include <Acaciavale/LibRelay/ModelChoice.h>
 #include <Acaciavale/LibRelay/OutboundCall.h>
@@ -12,6 +13,13 @@
 
 namespace Acaciavale::Relay {
 
+/// The events of an unsure answer that the caller does not have yet.
+struct KeptStream
+{
+  std::string mText;
+  std::optional<std::int64_t> mLastEventId;
+};
+
 /// One attempt of a request at an endpoint.
 struct Attempt
 {
@@ -49,6 +57,10 @@
   /// Suspect part of the prompt that the attempt is a trial of; 0: none.
   std::uint64_t mTrialOf = 0;
   bool mIsPromptSound = false; ///< An answer has begun.
+  /// What has arrived of an answer that is kept until the stream of a larger
+  /// model has begun. It is complete if the attempt is over.
+  std::optional<KeptStream> mKept;
+  ByteHold mKeptHold; ///< Until the kept text is written to the caller.
 };
 
 /// Value of Retry-After for requests that are refused for lack of a current
@@ -156,6 +168,8 @@
   void OnEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents);
   void ForwardComments(Attempt& aAttempt, const std::string& aText);
   void OnFirstEvent(Attempt& aAttempt);
+  void BeginCallerStream(const Attempt& aAttempt);
+  void SendEvents(Attempt& aAttempt, const std::string& aText);
   // ExchangeSecondResponses.cpp: endpoints that respond to a request twice.
   bool MayHoldSecondResponse(const Attempt& aAttempt) const;
   void CutSecondResponse(Attempt& aAttempt);
@@ -180,12 +194,26 @@
   // ExchangeEvidence.cpp: evidence on the versions of a roll-out.
   void BeginEvidence(Attempt& aAttempt);
   void EndEvidence(Attempt& aAttempt, AttemptEnd aEnd);
-  void CancelOthers(const Attempt* aKept);
+  void CancelOthers(const Attempt* aNeeded);
   void ForwardResponse(Attempt& aAttempt);
   void RetryOrFail(AttemptEnd aEnd);
   bool MayAttemptAgain() const;
   std::int64_t AttemptsLeft() const;
+  // ExchangeCascade.cpp: unsure answers of smaller models.
+  LargerModelTimes TimesOf(std::size_t aModel) const;
+  const Attempt* KeptAnswer() const;
   void Escalate(Attempt& aAttempt, std::size_t aModel);
+  void ArmFallbackTimer();
+  bool IsFallbackNearer() const;
+  bool HoldKept(Attempt& aAttempt, std::size_t aBytes);
+  void KeepEvents(Attempt& aAttempt, std::vector<StreamEvent> aEvents);
+  void OnKeptEnd(Attempt& aAttempt, AttemptEnd aEnd);
+  void DropKept(Attempt& aAttempt);
+  void DropKeptAnswers();
+  void RecordFallback(FallbackCause aCause);
+  void FallBack(FallbackCause aCause);
+  void Deliver(Attempt& aAttempt);
+  bool DeliverCompleteAnswer(FallbackCause aCause);
 
   std::shared_ptr<RelayState> mState;
   std::shared_ptr<ClientSession> mSession;
@@ -201,6 +229,8 @@
   /// Limits the wait for a view of the fleet, then the whole request.
   Timer mTimer;
   Timer mQueueTimer;
+  Timer mFallbackTimer; ///< Ends the wait for a larger model.
+  TimePoint mEscalatedAt{};
   std::list<Attempt> mAttempts;
   std::vector<const Endpoint*> mTriedEndpoints;
   std::int64_t mFailedConnections = 0; ///< Attempts that could not connect.
--- a/Libraries/LibRelay/ExchangeCrashes.cpp
+++ b/Libraries/LibRelay/ExchangeCrashes.cpp
@@ -125,7 +125,8 @@
                         aAttempt.mResponseInfo.mMatchesRequest;
   const bool isSuspect = !mRequest.mParts.empty() && !mIsStreaming &&
                          aAttempt.mJudged->mTiming.mEvents == 0;
-  const bool isWaiting = isSuspect && hadBegun;
+  // NOTE: A request with a kept answer has another way to go on.
+  const bool isWaiting = isSuspect && hadBegun && KeptAnswer() == nullptr;
   mState->CheckEndpoint(aAttempt.mEndpoint,
                         [self = shared_from_this(),
                          &aAttempt,
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -114,9 +114,9 @@
 
 void Exchange::OnSilence(Attempt& aAttempt)
 {
-  if (aAttempt.mCall->IsPaused()) {
+  if (aAttempt.mCall->IsPaused() || aAttempt.mKept) {
     // NOTE: The VM does not read, as the caller does not. The timer starts
-    //       again when it reads on.
+    //       again when it reads on. No caller waits for a kept answer.
     return;
   }
   const bool isReplaced =
@@ -143,8 +143,9 @@
     mState->mOptions.mRetryBudget.mWindow
   };
   const bool isUnsafe = PromptDecisionNow().mVerdict != PromptVerdict::Send;
-  const EndpointSelection selection =
-    isEarly || isUnsafe ? EndpointSelection{} : SelectEndpoint();
+  const EndpointSelection selection = isEarly || isUnsafe || IsFallbackNearer()
+                                        ? EndpointSelection{}
+                                        : SelectEndpoint();
   const bool isAllowed =
     selection.mEndpoint &&
     mState->mSilenceBudgets[mPool].TrySpend(silenceBudget, 1, now) &&
@@ -232,31 +233,6 @@
   }
 }
 
-void Exchange::Escalate(Attempt& aAttempt, std::size_t aModel)
-{
-  if (PromptDecisionNow().mVerdict != PromptVerdict::Send) {
-    return;
-  }
-  const std::size_t previousModel = mModel;
-  mModel = aModel;
-  // NOTE: The engine that ran the smaller model is also a candidate for
-  //       the larger model.
-  std::erase(mTriedEndpoints, aAttempt.mEndpoint.get());
-  const EndpointSelection selection = SelectEndpoint();
-  if (!selection.mEndpoint ||
-      !mState->mRetryBudgets[mPool].TrySpend(
-        mState->mOptions.mRetryBudget, mState->mLiveVms, MonotonicNow())) {
-    mModel = previousModel;
-    return;
-  }
-  mAttemptTrace += " [" + aAttempt.mEndpoint->mRecord.mId + " unsure]";
-  mMayHaveRun = true;
-  OnFirstEvent(aAttempt);
-  aAttempt.mCall->Cancel();
-  CloseAttempt(aAttempt, AttemptEnd::Answered);
-  StartAttempt(selection);
-}
-
 Exchange::AttemptEnd Exchange::Classify(const Attempt& aAttempt,
                                         CallResult aResult) const
 {
@@ -329,10 +305,13 @@
     mState->mLoop, [state = mState, pool = mPool] { state->ServeQueue(pool); });
 }
 
-void Exchange::CancelOthers(const Attempt* aKept)
+/// Cancels the attempts other than aNeeded. Kept answers stay, unless no
+/// attempt is needed.
+void Exchange::CancelOthers(const Attempt* aNeeded)
 {
   for (Attempt& attempt : mAttempts) {
-    if (&attempt != aKept && !attempt.mIsOver) {
+    const bool isKept = aNeeded != nullptr && attempt.mKept;
+    if (&attempt != aNeeded && !attempt.mIsOver && !isKept) {
       attempt.mCall->Cancel();
       CloseAttempt(attempt, AttemptEnd::Cancelled);
     }
@@ -385,8 +364,21 @@
     mFailedConnections += 1;
   }
   if (end == AttemptEnd::Answered) {
-    if (IsSuccess(aAttempt.mHead)) {
+    const bool isSuccess = IsSuccess(aAttempt.mHead);
+    if (isSuccess) {
       RecordSoundPrompt(aAttempt);
+    }
+    if (aAttempt.mKept) {
+      OnKeptEnd(aAttempt, end);
+      return;
+    }
+    const bool isAnswer = isSuccess && !(aAttempt.mIsStream && !mIsStreaming);
+    if (!isAnswer && KeptAnswer() != nullptr) {
+      FallBack(isSuccess ? FallbackCause::NoAnswer : FallbackCause::Failed);
+      return;
+    }
+    DropKeptAnswers();
+    if (isSuccess) {
       RecordDuration();
     }
     CancelOthers(&aAttempt);
@@ -416,19 +408,27 @@
   if (isLost && CheckLostEndpoint(aAttempt, end)) {
     return;
   }
+  if (aAttempt.mKept) {
+    OnKeptEnd(aAttempt, end);
+    return;
+  }
   RetryOrFail(end);
 }
 
 void Exchange::RetryOrFail(AttemptEnd aEnd)
 {
   mMayHaveRun = mMayHaveRun || aEnd != AttemptEnd::NotExecuted;
-  const bool othersAreOpen =
-    std::any_of(mAttempts.begin(),
-                mAttempts.end(),
-                [](const Attempt& aAttempt) { return !aAttempt.mIsOver; });
+  const bool othersAreOpen = std::any_of(
+    mAttempts.begin(), mAttempts.end(), [](const Attempt& aAttempt) {
+      return !aAttempt.mIsOver && !aAttempt.mKept;
+    });
   if (othersAreOpen) {
     return;
   }
+  if (KeptAnswer() != nullptr) {
+    FallBack(FallbackCause::Failed);
+    return;
+  }
   const bool mayRepeat = aEnd == AttemptEnd::NotExecuted || MayRepeat(*mRoute);
   // NOTE: A request that was not written to any endpoint uses no retry budget.
   const bool isFirst = std::none_of(
--- a/Libraries/LibRelay/ExchangeStop.cpp
+++ b/Libraries/LibRelay/ExchangeStop.cpp
@@ -47,6 +47,9 @@
     return;
   }
   NoteOpenAttempts();
+  if (DeliverCompleteAnswer(FallbackCause::Stop)) {
+    return;
+  }
   if (mIsStreaming) {
     mSession->Abort();
     Finish("the stream was aborted, as this VM stops");
--- a/Libraries/LibRelay/ExchangeStreams.cpp
+++ b/Libraries/LibRelay/ExchangeStreams.cpp
@@ -80,9 +80,10 @@
     if (!mIsStreaming && MayAttemptAgain()) {
       Escalate(aAttempt, model);
     }
-    if (aAttempt.mIsOver) {
-      return;
-    }
+  }
+  if (aAttempt.mKept) {
+    KeepEvents(aAttempt, std::move(aEvents));
+    return;
   }
   std::string text;
   bool isProgress = false;
@@ -113,28 +114,40 @@
     aAttempt.mIsSilent = false;
     CancelOthers(&aAttempt);
   }
+  DropKeptAnswers();
   text.insert(0, std::exchange(aAttempt.mHeldComments, {}));
   OnFirstEvent(aAttempt);
   RecordSoundPrompt(aAttempt);
   aAttempt.mLastEventAt = MonotonicNow();
   if (!mIsStreaming) {
-    mIsStreaming = true;
-    mFirstEventMilliseconds = InSeconds(MonotonicNow() - mArrivedAt) * 1000;
-    mState->mMetrics.Observe("acaciavale_relay_first_event_seconds",
-                             { { "pool", mPool } },
-                             mFirstEventMilliseconds / 1000);
-    mSession->BeginStream(mState->mCodec.mEncodeResponse(aAttempt.mHead));
-    mSession->OnDrained([self = weak_from_this(), call = aAttempt.mCall] {
-      if (const auto exchange = self.lock(); exchange && !exchange->mIsOver) {
-        for (Attempt& attempt : exchange->mAttempts) {
-          if (!attempt.mIsOver && attempt.mCall->IsPaused()) {
-            exchange->Resume(attempt);
-          }
+    BeginCallerStream(aAttempt);
+  }
+  SendEvents(aAttempt, text);
+}
+
+void Exchange::BeginCallerStream(const Attempt& aAttempt)
+{
+  mIsStreaming = true;
+  mFirstEventMilliseconds = InSeconds(MonotonicNow() - mArrivedAt) * 1000;
+  mState->mMetrics.Observe("acaciavale_relay_first_event_seconds",
+                           { { "pool", mPool } },
+                           mFirstEventMilliseconds / 1000);
+  mSession->BeginStream(mState->mCodec.mEncodeResponse(aAttempt.mHead));
+  mSession->OnDrained([self = weak_from_this(), call = aAttempt.mCall] {
+    if (const auto exchange = self.lock(); exchange && !exchange->mIsOver) {
+      for (Attempt& attempt : exchange->mAttempts) {
+        attempt.mKeptHold.Release();
+        if (!attempt.mIsOver && attempt.mCall->IsPaused()) {
+          exchange->Resume(attempt);
         }
       }
-    });
-  }
-  mSession->SendChunk(text);
+    }
+  });
+}
+
+void Exchange::SendEvents(Attempt& aAttempt, const std::string& aText)
+{
+  mSession->SendChunk(aText);
   if (mIsOver) {
     return;
   }
