--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -63,6 +63,7 @@
   , mArrivedAt(MonotonicNow())
   , mTimer(mState->mLoop)
   , mQueueTimer(mState->mLoop)
+  , mFallbackTimer(mState->mLoop)
 {
   mState->mExchanges.insert(this);
 }
@@ -342,6 +343,10 @@
 
 void Exchange::Fail()
 {
+  if (KeptAnswer() != nullptr) {
+    FallBack(FallbackCause::Failed);
+    return;
+  }
   if (mIsStreaming) {
     mSession->Abort();
     Finish("the stream was aborted");
@@ -387,6 +392,9 @@
     return;
   }
   NoteOpenAttempts();
+  if (DeliverCompleteAnswer(FallbackCause::Deadline)) {
+    return;
+  }
   RecordDuration();
   if (mIsStreaming) {
     mSession->Abort();
@@ -423,6 +431,7 @@
   mTimer.Cancel();
   mQueueTimer.Cancel();
   EndInquiry("abandoned");
+  mFallbackTimer.Cancel();
   if (mQueueTicket) {
     PoolQueue& queue = mState->mQueues[mPool];
     queue.mQueue.Remove(*mQueueTicket);
@@ -438,6 +447,8 @@
   for (Attempt& attempt : mAttempts) {
     attempt.mBody = {};
     attempt.mBodyHold.Release();
+    attempt.mKept.reset();
+    attempt.mKeptHold.Release();
   }
   const double milliseconds = InSeconds(MonotonicNow() - mArrivedAt) * 1000;
   const std::string route = mRoute == nullptr ? "" : mRoute->mName;
