Rank waiting requests by the work of accounts, and order the retries

The queue counted an account's starts in requests, used a goal of 2 s for all routes, and scanned all waiting requests at each start. Retry-After had a random factor of up to two and was cut off at 2 s, so that callers returned in any order or together.

WaitQueue keeps one ordered set per account. Accounts are compared by their share of the recent prompt work and by the work of their first request; within an account, and without accounts, the order is by urgency and time waited as before. A level of urgency is a quarter of the route's goal. Refused callers return at the rate at which the queue starts requests. Refusals for lack of capacity have a log line and counters without account names. RequestRelay can report and apply the work of accounts; nothing calls that yet.

The order equals that of a plain scan in 20 random sequences.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -269,11 +269,11 @@
   PoolQueue& queue = mState->mQueues[mPool];
   queue.mStartInterval =
     WithStart(queue.mStartInterval, queue.mQueue.size() > 0, now);
-  queue.mQueue.RecordStart(mAccount == nullptr ? "" : mAccount->mName);
   Attempt& attempt = mAttempts.emplace_back();
   attempt.mEndpoint = aSelection.mEndpoint;
   attempt.mModel = mModel;
   attempt.mWork = AttemptWorkFor(mModel);
+  RecordWork(attempt.mWork, now);
   attempt.mStartedAt = now;
   attempt.mEventParser = EventStreamParser(mState->mCodec.mEventFields);
   LogEndOfQuiet(*attempt.mEndpoint);
@@ -343,15 +343,11 @@
     RefuseUntilQuietEnds(*mQuietUntil);
     return;
   }
-  const PoolQueue& queue = mState->mQueues[mPool];
   if (mLimited.mCount > 0 && !mIsAnyEndpointFull) {
-    RefuseUntilPermit(queue.mQueue.size());
+    RefuseUntilPermit(mState->mQueues[mPool].mQueue.size());
     return;
   }
-  Refuse(503,
-         mQueueTicket ? "no place came free in time" : "no endpoint took it",
-         RetryAfter(
-           queue.mStartInterval, queue.mQueue.size(), mState->mRandom.Unit()));
+  RefuseForCapacity();
 }
 
 void Exchange::NoteOpenAttempts()
@@ -374,6 +370,8 @@
     Finish("the stream was aborted at the deadline");
   } else if (mMayHaveRun) {
     Refuse(504, "the time was up before the answer");
+  } else if (mQueueTicket) {
+    RefuseForCapacity();
   } else {
     Refuse(503, "the time was up before a place came free");
   }
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -104,7 +104,7 @@
     Cancelled,     ///< The attempt is not needed any more.
   };
 
-  // Exchange.cpp: admission, queueing, start of attempts, and the end.
+  // Exchange.cpp: admission, start of attempts, and the end.
   // ExchangeModels.cpp: the work of an attempt and the choice of a model.
   void Begin();
   void AwaitFleetView(std::string_view aReason);
@@ -116,7 +116,6 @@
   void Dispatch();
   bool TryDispatch();
   EndpointSelection SelectEndpoint();
-  void JoinQueue();
   void StartAttempt(const EndpointSelection& aSelection);
   void Fail();
   void OnDeadline();
@@ -128,6 +127,14 @@
   void Finish(std::string_view aOutcome);
   double SecondsLeft() const;
 
+  // ExchangeQueue.cpp: waiting for a free slot, and refusals for lack of one.
+  void JoinQueue();
+  /// Expected prompt work, in which shares of accounts are measured.
+  double PromptSeconds(const AttemptWork& aWork) const;
+  /// Counts the work that starts toward the account's share in the pool.
+  void RecordWork(const AttemptWork& aWork, TimePoint aNow);
+  void RefuseForCapacity();
+
   // ExchangeStop.cpp: requests that are open while the VM stops.
   bool IsCutByStop() const;
   bool RefuseLate();
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -25,6 +25,7 @@
   WaitQueue mQueue;
   std::map<WaitTicket, std::weak_ptr<Exchange>> mWaiting;
   StartInterval mStartInterval;
+  RetrySchedule mRetrySchedule;
   /// Serves the queue when a permit for an endpoint with a limit accrues.
   std::unique_ptr<Timer> mPermitTimer;
   TimePoint mPermitTimerAt = TimePoint::max();
@@ -61,6 +62,7 @@
   /// Budgets for the retries of silent attempts, by pool.
   std::map<std::string, RetryBudget> mSilenceBudgets;
   std::map<std::string, PoolQueue> mQueues; ///< Queues by pool.
+  HeardWork mHeardWork; ///< Work of accounts that other VMs have told.
   CrashEvidence mCrashEvidence;
   std::vector<QuarantinedPrompt> mQuarantine;
   std::vector<QuarantinedPrompt> mSuspectPrompts; ///< By mCrashEvidence.
@@ -103,6 +105,12 @@
   /// Starts queued requests of the pool while endpoints have free slots.
   void ServeQueue(const std::string& aPool);
 
+  /// The work of accounts that this VM started, by pool.
+  std::map<std::string, AccountWork> OwnAccountWork() const;
+
+  /// Updates the shares in all queues after other VMs have told their work.
+  void ApplyHeardWork(TimePoint aNow);
+
   /// Serves the queue of the pool again at aTime, or earlier.
   void ServeQueueAt(const std::string& aPool, TimePoint aTime);
 };
--- a/include/Acaciavale/LibRelay/Relay.h
+++ b/include/Acaciavale/LibRelay/Relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRelay/AccountShares.h>
 #include <Acaciavale/LibRelay/ByteBudget.h>
 #include <Acaciavale/LibRelay/CallerRequest.h>
 #include <Acaciavale/LibRelay/ClientSession.h>
@@ -126,6 +127,16 @@
   /// Applies the loads that endpoints reported to other VMs, if newer.
   void ApplyLoadReports(const std::vector<LoadReport>& aReports);
 
+  /// The recent work of accounts that this VM started.
+  AccountWorkReport AccountWorkOfThisVm() const;
+  /// The recent work of accounts at this VM and all that report to it, except
+  /// the VM with the given name, for the answer to that VM.
+  AccountWorkReport AccountWorkFor(const std::string& aVm) const;
+  /// Keeps what the VM has told of its own work, in place of its last report.
+  void ApplyAccountWorkOf(const std::string& aVm, AccountWorkReport aReport);
+  /// Keeps the sum that another VM has told, counted at aAsOf.
+  void ApplyAccountWorkSum(AccountWorkReport aReport, TimePoint aAsOf);
+
   /// Sets a handler that is called after an endpoint has stated in a response
   /// what other VMs should know.
   void OnAnnouncement(std::function<void()> aHandler);
--- a/include/Acaciavale/LibRelay/WaitQueue.h
+++ b/include/Acaciavale/LibRelay/WaitQueue.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <Acaciavale/LibCore/Time.h>
+#include <Acaciavale/LibRelay/AccountShares.h>
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,8 +15,8 @@
 ///
 /// The queue absorbs bursts of more requests than the pool has slots. It keeps
 /// the queues of the endpoints short, so that urgent requests can overtake
-/// others here, and so can requests with little time left. Requests that cannot
-/// start in time are refused early.
+/// others here, and so can requests of accounts that had less than others.
+/// Requests that cannot start in time are refused early.
 namespace Acaciavale::Relay {
 
 using WaitTicket = std::uint64_t;
@@ -25,44 +27,86 @@
   std::string mAccount;
   TimePoint mQueuedAt{};
   TimePoint mStartBy{}; ///< Latest time at which a start is useful.
+  /// The route's goal for the first event.
+  Duration mFirstEventGoal = std::chrono::seconds(1);
+  double mWorkSeconds = 0; ///< Expected prompt work.
 
   auto operator<=>(const WaitingRequest&) const = default;
 };
 
+/// The order has two levels. Requests of one account are ordered by urgency and
+/// time waited, where a level of urgency equals a quarter of the route's goal;
+/// of equal ones, the request with the earliest mStartBy is the next. Among the
+/// first requests of the accounts, the account's share of the recent work and
+/// the work of the request count as well. The order only decides who goes
+/// first: an account that waits alone gets all slots, in the order of a queue
+/// without accounts. No request starves, as the time waited counts.
 class WaitQueue
 {
 public:
   WaitTicket Add(const WaitingRequest& aRequest);
   void Remove(WaitTicket aTicket);
 
-  /// The request to start next, which stays queued until removed. Its rank
-  /// combines the urgency, the recent starts of the account and the time
-  /// waited, so that no request starves. Of equal ranks, the request with the
-  /// earliest mStartBy is the next.
+  /// The request to start next, which stays queued until removed. Takes time in
+  /// proportion to the waiting accounts, not to the waiting requests.
   std::optional<WaitTicket> Next(TimePoint aNow) const;
 
-  /// Number of queued requests that would start before aRequest.
+  /// Number of queued requests that would start before aRequest by the present
+  /// shares.
   std::size_t CountAhead(const WaitingRequest& aRequest, TimePoint aNow) const;
 
   /// The requests that can no longer start in time.
   std::vector<WaitTicket> Expired(TimePoint aNow) const;
 
   /// Records the start of a request of the account.
-  void RecordStart(const std::string& aAccount);
+  void RecordStart(const std::string& aAccount,
+                   double aWorkSeconds,
+                   TimePoint aNow);
+
+  /// Replaces what is known of the work that other VMs started.
+  void SetWorkOfOthers(AccountWork aOthers);
+
+  /// The work that this VM started.
+  const AccountWork& OwnWork() const { return mOwn; }
+
+  /// Shares in the work of this VM and the others.
+  const AccountShares& Shares(TimePoint aNow) const;
 
   std::size_t size() const { return mRequests.size(); }
 
 private:
-  /// The sort key of a request; the lowest one starts first.
-  std::pair<double, TimePoint> RankOf(const WaitingRequest& aRequest,
-                                      TimePoint aNow) const;
+  /// Position among the requests of an account; the lowest one starts first.
+  struct Position
+  {
+    TimePoint mRank{};
+    TimePoint mStartBy{};
+    WaitTicket mTicket = 0;
+
+    auto operator<=>(const Position&) const = default;
+  };
+
+  Position PositionOf(const WaitingRequest& aRequest, WaitTicket aTicket) const;
 
   WaitTicket mLastTicket = 0;
   std::map<WaitTicket, WaitingRequest> mRequests;
-  /// Recent starts by account, decayed at each start.
-  std::map<std::string, double> mRecentStarts;
+  std::map<std::string, std::set<Position>> mByAccount;
+  /// Longest goal of the requests since the queue was empty.
+  Duration mLongestGoal{};
+  AccountWork mOwn;
+  AccountWork mOthers;
+  /// Computed when needed; empty after a change. Its ratios do not change with
+  /// time, since all counts decay alike.
+  mutable std::optional<AccountShares> mShares;
 };
 
+/// The place of a request among the first ones of all accounts, the lowest of
+/// which starts first. aRelativeShare is that of its account.
+TimePoint RankAmongAccounts(const WaitingRequest& aRequest,
+                            double aRelativeShare);
+
+/// The place of a request among those of its account.
+TimePoint RankWithinAccount(const WaitingRequest& aRequest);
+
 /// The smoothed interval between two starts while requests wait, which is the
 /// interval at which slots become free. Starts from an empty queue are not
 /// counted, since they measure the demand instead.
@@ -92,11 +136,26 @@
                        std::size_t aAhead,
                        double aSecondsLeft);
 
-/// The delay after which the caller of a refused request should retry: the
-/// expected time in which the queued requests start, extended by the share
-/// aJitter in [0, 1], so that not all callers retry at the same time.
-Duration RetryAfter(const StartInterval& aInterval,
+/// The latest time of return that refused callers were told, by urgency.
+struct RetrySchedule
+{
+  std::map<std::int64_t, TimePoint> mLatestReturn;
+
+  bool operator==(const RetrySchedule&) const = default;
+};
+
+/// The delay after which the caller of a refused request should retry. Returns
+/// follow one another at the rate at which the queue starts requests, after the
+/// time in which the queued requests start. A caller is never told an earlier
+/// time than one of the same or a higher urgency that was refused before, until
+/// the longest delay is reached; callers then keep the distance with which they
+/// were refused. The delay is extended by up to a quarter, by aJitter in
+/// [0, 1], as other VMs refuse requests at the same time.
+Duration RetryAfter(RetrySchedule& aSchedule,
+                    const StartInterval& aInterval,
                     std::size_t aAhead,
-                    double aJitter);
+                    std::int64_t aUrgency,
+                    double aJitter,
+                    TimePoint aNow);
 
 } // namespace Acaciavale::Relay
