Test a kept answer that outgrows the byte budget

Cause: no test delivered a kept answer while its endpoint still sends, with less room than the answer needs.

--- a/Tests/Platform/TestCascadeFallback.cpp
+++ b/Tests/Platform/TestCascadeFallback.cpp
@@ -30,6 +30,7 @@
 TEST_GROUP_BASE(CascadeFallback, RawEndpointTest)
 {
   std::vector<std::unique_ptr<Relay::Timer>> mTimers;
+  std::unique_ptr<RawEndpoint> mFiller;
   Duration mTook{};
   std::string mMetrics;
 
@@ -79,6 +80,38 @@
     mFixture.StartNode();
   }
 
+  void StartWithLittleMemory(const Replica::Script& aSmall,
+                             const Replica::Script& aLarge)
+  {
+    mFixture.mConfig.mMemoryBytes = 16U << 20;
+    mFiller = std::make_unique<RawEndpoint>(
+      mFixture.mIoContext,
+      std::vector<RawEndpoint::Write>{ { RawHead(
+        "HTTP/1.1 200 OK",
+        "Content-Length: " + std::to_string(kThirdOfRoom) + "\r\n") } },
+      RawEndpoint::End::KeepOpen);
+    List("i-3", "desk", *mFiller);
+    StartWith(aSmall, aLarge);
+  }
+
+  /// Begins responses that take room and do not end.
+  void TakeThirdsOfRoom(int aCount)
+  {
+    for (int call = 0; call < aCount; ++call) {
+      mFixture.StartCall(
+        { "POST",
+          "/once/x",
+          "body",
+          { { "Key", "key-1" },
+            { "Attempt-Id", "held-" + std::to_string(call) } } },
+        mFixture.mNode->CallerAddress(),
+        std::make_shared<Response>(),
+        [] {});
+    }
+    mFixture.RunUntil([&] { return mFiller->Arrivals() == aCount; });
+    mFixture.RunFor(std::chrono::milliseconds(100));
+  }
+
   Response CallSized(const std::string& aDeadlineMs = "4000")
   {
     const TimePoint start = MonotonicNow();
@@ -288,31 +321,39 @@
 /// Guards against answers that are held beyond the byte budget.
 TEST(CascadeFallback, WithoutRoomTheAnswerIsDeliveredInPlaceOfTheEscalation)
 {
-  mFixture.mConfig.mMemoryBytes = 16U << 20;
-  RawEndpoint filler(
-    mFixture.mIoContext,
-    { { RawHead("HTTP/1.1 200 OK",
-                "Content-Length: " + std::to_string(kThirdOfRoom) + "\r\n") } },
-    RawEndpoint::End::KeepOpen);
-  List("i-3", "desk", filler);
-  StartWith(AnswerUnsurely, AnswerSurely);
-  for (int call = 0; call < 3; ++call) {
-    mFixture.StartCall({ "POST",
-                         "/once/x",
-                         "body",
-                         { { "Key", "key-1" },
-                           { "Attempt-Id", "held-" + std::to_string(call) } } },
-                       mFixture.mNode->CallerAddress(),
-                       std::make_shared<Response>(),
-                       [] {});
-  }
-  mFixture.RunUntil([&filler] { return filler.Arrivals() == 3; });
-  mFixture.RunFor(std::chrono::milliseconds(100));
+  StartWithLittleMemory(AnswerUnsurely, AnswerSurely);
+  TakeThirdsOfRoom(3);
   CheckIsSmall(CallSized());
   CHECK(HasFallenBack("no-room"));
   LONGS_EQUAL(0, ArrivalsFor("large"));
 }
 
+/// Guards against a kept answer that grows beyond the byte budget, and against
+/// a loss of events where it is delivered while its endpoint still sends.
+TEST(CascadeFallback, AnAnswerThatOutgrowsTheRoomIsDeliveredWhole)
+{
+  std::string answer;
+  mFixture.mRouteGoalMs = 3000;
+  StartWithLittleMemory(
+    [&answer](Replica& aSelf, const auto& aSession) {
+      Begin(aSelf, aSession, "5", "");
+      for (int id = 1; id <= 30; ++id) {
+        const std::string event =
+          Event(id, std::string(kThirdOfRoom / 20, 'x'));
+        answer += event;
+        aSession->SendChunk(event);
+      }
+      aSession->EndStream();
+    },
+    NeverRespond());
+  TakeThirdsOfRoom(2);
+  const Response response = CallSized();
+  CHECK(response.mResult == CallResult::Complete);
+  CHECK(response.mBody == answer);
+  CHECK(HasFallenBack("no-room"));
+  LONGS_EQUAL(1, ArrivalsFor("large"));
+}
+
 /// Guards against 504 in place of an answer that is complete, where the VM
 /// stops while the larger model may still begin.
 TEST(CascadeFallback, ACompleteAnswerIsDeliveredWhenTheVmStops)
