Return the response of the cascade tests without a copy

Cause: clang-tidy reports performance-no-automatic-move in CallSized. Change: the local variable is not const.

--- a/Tests/Platform/TestCascadeFallback.cpp
+++ b/Tests/Platform/TestCascadeFallback.cpp
@@ -115,13 +115,12 @@
   Response CallSized(const std::string& aDeadlineMs = "4000")
   {
     const TimePoint start = MonotonicNow();
-    const Response response =
-      mFixture.Call({ "POST",
-                      "/sized/x",
-                      "body",
-                      { { "Model", "*" },
-                        { "Token-Usage", "4000,200" },
-                        { "Deadline-Ms", aDeadlineMs } } });
+    Response response = mFixture.Call({ "POST",
+                                        "/sized/x",
+                                        "body",
+                                        { { "Model", "*" },
+                                          { "Token-Usage", "4000,200" },
+                                          { "Deadline-Ms", aDeadlineMs } } });
     mTook = MonotonicNow() - start;
     mMetrics =
       mFixture.FetchPage(mFixture.mNode->MetricsAddress(), "/metrics").mBody;
