Wait for the larger model's answer until the goal

The check whether a larger model can finish multiplied the most output tokens by the time between events, which hold several tokens each, so that most escalations were left out; and a kept answer went out after three times the expected time, long before the goal.

A larger model is asked if it can begin in time, the kept answer goes out at the goal, and another endpoint is asked after a refusal if it can begin before.

--- a/Libraries/LibRelay/CascadeFallback.cpp
+++ b/Libraries/LibRelay/CascadeFallback.cpp
@@ -28,12 +28,6 @@
   return std::max(aTimes.mExpectedFirstEvent, aTimes.mLowQuartile);
 }
 
-/// Time from the first event of the larger model's answer to its last one.
-double WritingSeconds(const LargerModelTimes& aTimes)
-{
-  return aTimes.mPerEvent * static_cast<double>(aTimes.mOutputTokens);
-}
-
 } // namespace
 
 std::string_view Describe(FallbackCause aCause)
@@ -63,10 +57,11 @@
          kKeptShare * static_cast<double>(aLimitBytes);
 }
 
-bool CanAnswerInTime(const LargerModelTimes& aTimes)
+bool CanBeginInTime(const LargerModelTimes& aTimes)
 {
-  return ExpectedWait(aTimes) + WritingSeconds(aTimes) + kDeliverySeconds <=
-         aTimes.mTimeLeft;
+  // NOTE: The time to finish is not known: the caller states the most tokens
+  //       that it takes, an event holds several, and most answers are shorter.
+  return ExpectedWait(aTimes) + kDeliverySeconds <= aTimes.mTimeLeft;
 }
 
 std::optional<double> SecondsUntilFallback(const LargerModelTimes& aTimes,
@@ -75,23 +70,18 @@
   if (aState == KeptAnswerState::WithoutEvent) {
     return std::nullopt;
   }
-  const double patience = std::max(kMinimumPatienceSeconds,
-                                   kPatienceMultiple * ExpectedWait(aTimes)) -
-                          aTimes.mWaited;
   const double untilGoal = aTimes.mGoalLeft - kDeliverySeconds;
+  const double untilDeadline = aTimes.mTimeLeft - kDeliverySeconds;
   // NOTE: Where the larger model was expected to be late, the escalation was
   //       chosen although the goal is missed.
   const bool isGoalInReach = ExpectedWait(aTimes) <= untilGoal + aTimes.mWaited;
-  // NOTE: A larger model that begins later than this is cut by the deadline.
-  double seconds = aTimes.mTimeLeft - WritingSeconds(aTimes) - kDeliverySeconds;
-  if (isGoalInReach) {
-    seconds = std::min(seconds, untilGoal);
-  }
-  // NOTE: An incomplete answer does not end earlier if it is delivered earlier,
-  //       and may still break off, so only the goal limits the wait.
-  if (aState == KeptAnswerState::Complete || !isGoalInReach) {
-    seconds = std::min(seconds, patience);
-  }
+  const double patience = std::max(kMinimumPatienceSeconds,
+                                   kPatienceMultiple * ExpectedWait(aTimes)) -
+                          aTimes.mWaited;
+  // NOTE: An unsure answer gains nothing by going out before the goal, whereas
+  //       the larger model's answer is likely to be the better one until then.
+  const double seconds =
+    std::min(untilDeadline, isGoalInReach ? untilGoal : patience);
   return std::max(0.0, seconds);
 }
 
@@ -99,7 +89,7 @@
                            KeptAnswerState aState)
 {
   const auto seconds = SecondsUntilFallback(aTimes, aState);
-  return seconds ? ExpectedWait(aTimes) <= *seconds : CanAnswerInTime(aTimes);
+  return seconds ? ExpectedWait(aTimes) <= *seconds : CanBeginInTime(aTimes);
 }
 
 } // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/ExchangeCascade.cpp
+++ b/Libraries/LibRelay/ExchangeCascade.cpp
@@ -41,8 +41,6 @@
   times.mWaited = KeptAnswer() == nullptr ? 0 : InSeconds(now - mEscalatedAt);
   times.mExpectedFirstEvent = registry.ExpectedFirstEventSeconds(mPool, work);
   times.mLowQuartile = registry.LowQuartilePromptSeconds(mPool, work);
-  times.mPerEvent = registry.UsualSecondsPerEvent(mPool, work);
-  times.mOutputTokens = work.mOutputTokens;
   return times;
 }
 
@@ -68,7 +66,7 @@
   if (PromptDecisionNow().mVerdict != PromptVerdict::Send) {
     return;
   }
-  if (!CanAnswerInTime(TimesOf(aModel))) {
+  if (!CanBeginInTime(TimesOf(aModel))) {
     mAttemptTrace +=
       " [" + aAttempt.mEndpoint->mRecord.mId + " unsure no-time]";
     return;
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -425,7 +425,7 @@
   if (othersAreOpen) {
     return;
   }
-  if (KeptAnswer() != nullptr) {
+  if (KeptAnswer() != nullptr && IsFallbackNearer()) {
     FallBack(FallbackCause::Failed);
     return;
   }
--- a/include/Acaciavale/LibRelay/CascadeFallback.h
+++ b/include/Acaciavale/LibRelay/CascadeFallback.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -34,8 +33,6 @@
   /// Time to the first event of such prompts on an engine with little other
   /// work; 0: not known.
   double mLowQuartile = 0;
-  double mPerEvent = 0; ///< Usual time between two events; 0: not known.
-  std::int64_t mOutputTokens = 0;
 
   auto operator<=>(const LargerModelTimes&) const = default;
 };
@@ -53,9 +50,9 @@
                    std::size_t aHeldBytes,
                    std::size_t aAddedBytes);
 
-/// Whether the larger model can be expected to begin and to finish its answer
-/// within the time left. Otherwise it is not asked.
-bool CanAnswerInTime(const LargerModelTimes& aTimes);
+/// Whether the larger model can be expected to begin its answer within the time
+/// left. Otherwise it is not asked.
+bool CanBeginInTime(const LargerModelTimes& aTimes);
 
 /// Time in seconds, from now, after which the kept answer is delivered if the
 /// larger model has not begun; empty if there is nothing to deliver.
