Exchange the recent work of accounts between VMs

A VM of a large fleet serves a small part of each account's requests, so its own counts alone say little about the account's share.

Requests of public routes count as those of one account without a name.

TestPlatform, groups AccountWork, AccountWorkCodec and Decoders: 3, 4 and 8 tests pass.

--- a/Libraries/LibRelay/AccountShares.cpp
+++ b/Libraries/LibRelay/AccountShares.cpp
@@ -137,18 +137,26 @@
                          std::string_view aPool,
                          TimePoint aNow)
 {
-  WorkByPool sum;
+  AccountWork others;
+  others.mAsOf = aNow;
+  const auto add = [&](const HeardReport& aReport) {
+    const double factor = DecayFactor(aNow - aReport.mAsOf);
+    for (const AccountWorkEntry& entry : aReport.mEntries) {
+      if (entry.mPool == aPool) {
+        others.mSeconds[entry.mAccount] += entry.mSeconds * factor;
+      }
+    }
+  };
   bool hasReports = false;
   for (const auto& [vm, report] : aHeard.mByVm) {
     if (IsCurrent(report, aNow)) {
       hasReports = true;
-      AddReport(sum, report, aNow);
+      add(report);
     }
   }
   if (!hasReports && IsCurrent(aHeard.mSum, aNow)) {
-    AddReport(sum, aHeard.mSum, aNow);
+    add(aHeard.mSum);
   }
-  AccountWork others{ std::move(sum[std::string(aPool)]), aNow };
   Bound(others.mSeconds);
   return others;
 }
--- a/Libraries/LibRelay/RelayAccounts.cpp
+++ b/Libraries/LibRelay/RelayAccounts.cpp
@@ -8,10 +8,9 @@
 {
   std::map<std::string, AccountWork> own;
   for (const auto& [pool, queue] : mQueues) {
-    AccountWork work = queue.mQueue.OwnWork();
-    // NOTE: Requests without an account do not compete, and need no entry.
-    work.mSeconds.erase("");
-    own[pool] = std::move(work);
+    // NOTE: The requests of public routes count as those of one account without
+    //       a name.
+    own[pool] = queue.mQueue.OwnWork();
   }
   return own;
 }
--- a/Tests/LibRelay/TestAccountShares.cpp
+++ b/Tests/LibRelay/TestAccountShares.cpp
@@ -109,23 +109,25 @@
 /// work of VMs that are gone adds at most what they had before they left.
 TEST(AccountShares, VmsThatComeAndGoLeaveABoundedError)
 {
-  constexpr int kVms = 16;
+  constexpr std::size_t kVms = 16;
   HeardWork reader;
   // In equilibrium, a VM with one second of work per second counts this much.
   const double steady = InSeconds(kAccountWorkHalfLife) / 0.693147;
-  for (int second = 0; second < 300; ++second) {
-    for (int vm = 0; vm < kVms; ++vm) {
-      const int generation = (second + vm) / 20;
+  for (std::size_t second = 0; second < 300; ++second) {
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      const std::size_t generation = (second + vm) / 20;
       RecordReport(
         reader,
         "vm-" + std::to_string(vm) + "-" + std::to_string(generation),
         { { kPool, "a", steady * 2 / 3 }, { kPool, "b", steady / 3 } },
-        At(second));
+        At(static_cast<double>(second)));
     }
-    DropOldReports(reader, At(second));
+    DropOldReports(reader, At(static_cast<double>(second)));
     CHECK(reader.mByVm.size() <= 2 * kVms);
     const AccountShares shares =
-      SharesOf({}, WorkOfOthers(reader, kPool, At(second)), At(second));
+      SharesOf({},
+               WorkOfOthers(reader, kPool, At(static_cast<double>(second))),
+               At(static_cast<double>(second)));
     DOUBLES_EQUAL(2.0 / 3, ShareOf(shares, "a"), 1e-9);
     CHECK(shares.mTotal < 1.5 * kVms * steady);
     CHECK(shares.mTotal > 0.99 * kVms * steady);
--- a/Tests/Platform/Fuzz/CodecTargets.cpp
+++ b/Tests/Platform/Fuzz/CodecTargets.cpp
@@ -131,7 +131,9 @@
   query.mVmName = "vm-1";
   query.mEvidenceByPool["desk"] = "{}";
   query.mLoads.push_back({ "i-1", { 1, 2, 3 }, std::chrono::seconds(1) });
+  query.mAccountWork = { { "desk", "a", 1.5 } };
   SnapshotAnswer answer;
+  answer.mAccountWork = query.mAccountWork;
   answer.mEntries.push_back({ "servers/a", kEndpoint, 3 });
   answer.mRemovedKeys.push_back("servers/b");
   answer.mDigest = "digest";
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -110,6 +110,7 @@
   SnapshotAnswer answer = snapshot.ChangesSince(0, 0);
   answer.mAge = std::chrono::milliseconds(30);
   answer.mLoads = { { "i-1", { 3, 1, 8 }, std::chrono::milliseconds(40) } };
+  answer.mAccountWork = { { "desk", "a", 1.5 }, { "desk", "b", 0.2 } };
   return answer;
 }
 
@@ -224,6 +225,7 @@
   query.mStoreRevision = 7;
   query.mEvidenceByPool["desk"] = EncodeEvidence(5, {});
   query.mLoads = Answer().mLoads;
+  query.mAccountWork = Answer().mAccountWork;
   AnnouncementReport announcement;
   announcement.mLifetime = { "i-1", 17, "127.0.0.1:80" };
   announcement.mLimit = { 20, kNow - std::chrono::seconds(1), false };
