Test that a VM's queues go by the work that its reader tells

The tests covered the answer of a reader, but not the way from the answer to the queues of the VM that asked.

The new test runs a reader and a VM in a fleet of 30 other listed VMs, and reads the largest share from the VM's metrics. It failed while the fixture listed the other VMs in another failure domain, as the reader was then none.

--- a/Tests/Platform/TestAccountWork.cpp
+++ b/Tests/Platform/TestAccountWork.cpp
@@ -23,17 +23,18 @@
       vm.mName = "vm-" + std::to_string(100 + index);
       vm.mCallerAddress = mFixture.UnusedAddress();
       vm.mPeerAddress = mFixture.UnusedAddress();
+      vm.mFailureDomain = mFixture.mConfig.mFailureDomain;
       mFixture.mStore.Put("vms/" + vm.mName, EncodeVm(vm));
     }
   }
 
   /// Starts the VM in a fleet, and serves a request of the account with key-1.
-  void ServeARequestInAFleetOf(int aVms)
+  void ServeARequestInAFleetOf(int aVms, const std::string& aName = "vm-050")
   {
     mFixture.PutSettings(1, { "key-1" });
     mFixture.AddEndpoint("desk", "i-1", RespondWith("hello"));
     ListVms(aVms - 1);
-    mFixture.mConfig.mName = "vm-050";
+    mFixture.mConfig.mName = aName;
     mFixture.StartNode();
     LONGS_EQUAL(
       200,
@@ -44,7 +45,8 @@
 
   /// The VM's answer to a snapshot query; empty if it does not answer.
   std::optional<SnapshotAnswer> Ask(const std::string& aVm,
-                                    std::optional<AccountWorkReport> aWork)
+                                    std::optional<AccountWorkReport> aWork,
+                                    const std::string& aAddress = {})
   {
     SnapshotQuery query;
     query.mVmName = aVm;
@@ -53,7 +55,7 @@
     bool hasEnded = false;
     const auto call = mFixture.StartCall(
       { "POST", std::string(kSnapshotPath), EncodeSnapshotQuery(query), {} },
-      mFixture.mNode->PeerAddress(),
+      aAddress.empty() ? mFixture.mNode->PeerAddress() : aAddress,
       response,
       [&hasEnded] { hasEnded = true; });
     mFixture.RunUntil([&hasEnded] { return hasEnded; });
@@ -61,6 +63,18 @@
     return answer ? std::optional(*answer) : std::nullopt;
   }
 
+  /// Largest share of an account in the pool by which the VM's queue goes.
+  double LargestShare()
+  {
+    const std::string text =
+      mFixture.FetchPage(mFixture.mNode->MetricsAddress(), "/metrics").mBody;
+    const std::string name =
+      "acaciavale_relay_largest_account_share{pool=\"desk\"} ";
+    const std::size_t at = text.find(name);
+    return at == std::string::npos ? 1
+                                   : std::stod(text.substr(at + name.size()));
+  }
+
   static double SecondsOf(const SnapshotAnswer& aAnswer,
                           const std::string& aAccount)
   {
@@ -94,6 +108,33 @@
   DOUBLES_EQUAL(7, SecondsOf(*third, "elsewhere"), 1.4);
 }
 
+/// Guards against reports that reach the reader but not the queues of the VMs
+/// that query it. The VM has served one account, whose share is 1 by its own
+/// counts; by those of another VM, two other accounts have half of the work
+/// each.
+TEST(AccountWork, VmThatQueriesAReaderGoesByTheSumOfTheReader)
+{
+  mFixture.mConfig.mLinkMbps = 0;
+  mFixture.PutSettings(1, { "key-1" });
+  auto config = mFixture.mConfig;
+  config.mName = "vm-001";
+  config.mPeerAddress = mFixture.UnusedAddress();
+  Platform::Node reader(mFixture.mIoContext, "", config);
+  reader.Start();
+  // In a large fleet, not all VMs list themselves.
+  mFixture.RunUntil(
+    [this] { return mFixture.mStore.Value("vms/vm-001").has_value(); });
+  ServeARequestInAFleetOf(31, "vm-500");
+  DOUBLES_EQUAL(1, LargestShare(), 0.001);
+  mFixture.RunUntil([&] {
+    Ask("vm-101",
+        AccountWorkReport{ { "desk", "b", 5 }, { "desk", "c", 5 } },
+        reader.PeerAddress());
+    return LargestShare() < 0.6;
+  });
+  DOUBLES_EQUAL(0.5, LargestShare(), 0.05);
+}
+
 /// Guards against messages that builds without account work, or queries about
 /// something else, do not expect; such a query leaves what is known unchanged.
 TEST(AccountWork, QueryWithoutWorkIsAnsweredWithoutIt)
