Limit the cost of the preference by prompt size

The number of short prompts per long one is estimated from the last 100 prompts of a VM. Some time after the last long prompt it became thousands, and the cost an exclusion.

At most eight count.

--- a/Libraries/LibRelay/SizeAffinity.cpp
+++ b/Libraries/LibRelay/SizeAffinity.cpp
@@ -14,6 +14,10 @@
 /// A short prompt that meets a long one waits for half of it on average, as the
 /// endpoint has already read a part.
 constexpr double kUnreadShareOfMetPrompt = 0.5;
+/// Limit on the short prompts that one long prompt is assumed to delay. The
+/// deployments have three to six. Where long prompts are rare, few samples
+/// determine the number, and the cost would grow to an exclusion.
+constexpr double kMaximumShortPerLong = 8;
 
 } // namespace
 
@@ -73,7 +77,8 @@
   // NOTE: So many short prompts arrive at an endpoint for each long one, which
   //       delays them by its work. The factor applies to both sizes, so that
   //       neither leaves its endpoints to the other before the other does.
-  const double shortPerLong = (1 - aMix.mLongShare) / aMix.mLongShare;
+  const double shortPerLong =
+    std::min(kMaximumShortPerLong, (1 - aMix.mLongShare) / aMix.mLongShare);
   const double meanLongSeconds = aMix.mLongSeconds / aMix.mLongShare;
   const double seconds =
     IsLongPrompt(aMix, aSeconds)
--- a/Tests/LibRelay/TestSizeAffinity.cpp
+++ b/Tests/LibRelay/TestSizeAffinity.cpp
@@ -86,6 +86,21 @@
   }
 }
 
+/// Guards against a cost without limit, and so an exclusion, some time after
+/// the last long prompt.
+TEST(SizeAffinity, CostIsLimitedWhereLongPromptsAreRare)
+{
+  PromptWorkMix mix = MixOfTheDesk();
+  for (int prompt = 0; prompt < 600; ++prompt) {
+    mix = WithPrompt(mix, kShortSeconds);
+  }
+  CHECK(mix.mLongShare < 0.001);
+  CHECK(SizeAffinitySeconds({ 9, 10 }, mix, kLongSeconds, 1) <=
+        8.01 * kLongSeconds);
+  CHECK(SizeAffinitySeconds({ 0, 10 }, mix, kShortSeconds, 1) <=
+        4.01 * kLongSeconds);
+}
+
 /// Guards against a split of a pool whose prompts are all alike.
 TEST(SizeAffinity, HasNoEffectOnPromptsOfOneSizeOrOneEndpoint)
 {
