Follow the queue's interface in the simulation of queues

The benchmark still called RecordStart and RetryAfter without the work, the urgency and the time that they take now, so it did not compile. It states the service time as the work and its goal as the route's goal.

--- a/Benchmarks/DecisionMeasureParts/QueueSimulation.cpp
+++ b/Benchmarks/DecisionMeasureParts/QueueSimulation.cpp
@@ -140,6 +140,8 @@
     WaitingRequest work;
     work.mAccount = std::to_string(caller.mAccount);
     work.mQueuedAt = TimePointAt(mNow);
+    work.mFirstEventGoal = FromSeconds(kGoalSeconds);
+    work.mWorkSeconds = kServiceSeconds;
     const bool isFifo = mScenario.mQueuePolicy == QueuePolicy::Fifo;
     const double goalShare =
       mScenario.mQueuePolicy == QueuePolicy::Ours ? kQueueTimeShare : 1;
@@ -187,7 +189,8 @@
       Dequeue(*ticket);
       caller.mIsServed = true;
       mFreeSlots -= 1;
-      mQueue.RecordStart(std::to_string(caller.mAccount));
+      mQueue.RecordStart(
+        std::to_string(caller.mAccount), kServiceSeconds, TimePointAt(mNow));
       const double end = mNow + caller.mServiceSeconds;
       mEvents.push({ end, EventKind::SlotFreed, 0, 0 });
       if (mNow - caller.mCalledAt <= kGoalSeconds) {
@@ -219,8 +222,12 @@
     }
     mRejectedRetries += aCallNumber > 1 ? 1 : 0;
     if (aCallNumber < kMaxCalls) {
-      const Duration delay =
-        RetryAfter(mStartInterval, mQueue.size(), mRandom.Unit());
+      const Duration delay = RetryAfter(mRetrySchedule,
+                                        mStartInterval,
+                                        mQueue.size(),
+                                        0,
+                                        mRandom.Unit(),
+                                        TimePointAt(mNow));
       mEvents.push({ mNow + InSeconds(delay), EventKind::Retry, aCaller, 0 });
     }
   }
@@ -234,6 +241,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
   double mNow = 0; ///< Simulated time in seconds.
   StartInterval mStartInterval;
+  RetrySchedule mRetrySchedule;
   double mGoodputSeconds = 0;
   double mRequests[2] = { 0, 0 }; ///< Requests of account 0, of all others.
   /// Requests started within their goals, of account 0 and of all others.
