--- a/Tests/Platform/TestAccountWorkCodec.cpp
+++ b/Tests/Platform/TestAccountWorkCodec.cpp
@@ -99,7 +99,7 @@
   }
   const std::size_t without = EncodeSnapshotQuery(Query(std::nullopt)).size();
   const std::string text = EncodeSnapshotQuery(Query(report));
-  CHECK(text.size() - without < 2048);
+  CHECK(text.size() - without < 1024);
   UNSIGNED_LONGS_EQUAL(kMaximumReportedAccounts,
                        DecodeSnapshotQuery(text)->mAccountWork->size());
   // A longer list of another build is cut off.
--- a/include/Acaciavale/LibRelay/AccountShares.h
+++ b/include/Acaciavale/LibRelay/AccountShares.h
@@ -35,9 +35,10 @@
 /// with the least work is dropped, which counts as one without recent work.
 inline constexpr std::size_t kMaximumAccounts = 256;
 
-/// Bound on the entries of a report: 24 accounts in each of two pools. With
-/// names of ten characters, a report takes about 2 KB.
-inline constexpr std::size_t kMaximumReportedAccounts = 48;
+/// Bound on the entries of a report, so that it takes less than 1 KB with names
+/// of ten characters: a VM sends and receives about one a second, and may use 4
+/// KB a second for control.
+inline constexpr std::size_t kMaximumReportedAccounts = 24;
 
 /// Bound on the VMs whose reports are kept: four times the VMs that query one
 /// reader.
