Mend what the review of the new parts found

A fallback while the request was queued left its ticket and the timer of the queue, which later aborted the delivered stream or started another attempt beside it. A request that no engine had memory for counted as queued for a place and held up all behind it. The pace of an endpoint, which changes several times a second, stretched the limit on its silence by up to 20. Sizes of prompts were compared without, and recorded with, what endpoints have cached. A health path that answers without a load was asked again and again; the prior of its time did not hold shortly after a boot. A lost attempt whose endpoint had ended failed the request although another attempt had begun.

--- a/Libraries/LibRelay/CandidateInquiry.cpp
+++ b/Libraries/LibRelay/CandidateInquiry.cpp
@@ -22,9 +22,6 @@
 constexpr double kTimeoutMultiple = 3;
 constexpr double kMinimumTimeoutSeconds = 0.02;
 constexpr double kMaximumTimeoutSeconds = 0.06;
-/// Usual time of an answer before any was observed: connecting and asking
-/// within a failure domain and in another one, on average.
-constexpr double kPriorAnswerSeconds = 0.005;
 constexpr double kAnswerWeight = 0.1;
 /// What a time without an answer counts as, in multiples of the limit. Answers
 /// that take longer than the limit are not observed, and without this, a pool
--- a/Libraries/LibRelay/EndpointCandidates.cpp
+++ b/Libraries/LibRelay/EndpointCandidates.cpp
@@ -50,6 +50,7 @@
   TimePoint aNow)
 {
   EndpointCandidates found;
+  std::vector<std::uint32_t> withoutMemory;
   for (std::uint32_t index = 0; index < aEndpoints.size(); ++index) {
     Endpoint& endpoint = *aEndpoints[index];
     if (!MayRun(endpoint, aQuery, aRules, aNow)) {
@@ -70,20 +71,24 @@
       found.mFull += 1;
       continue;
     }
-    if (!FitsEngineMemory(endpoint.mMemoryTokens,
-                          aQuery.mWork.mMemoryTokens,
-                          aQuery.mEngineMemoryTokens)) {
-      found.mFull += 1;
-      found.mWithoutMemory += 1;
-      continue;
-    }
     const auto permit = aRules.mPermitOf(endpoint);
     if (permit && permit->mNextAt > aNow) {
       found.mLimited = WithEndpoint(
         found.mLimited, permit->mPerSecond, permit->mShare, permit->mNextAt);
       continue;
     }
-    found.mIndices.push_back(index);
+    const bool fits = FitsEngineMemory(endpoint.mMemoryTokens,
+                                       aQuery.mWork.mMemoryTokens,
+                                       aQuery.mEngineMemoryTokens);
+    (fits ? found.mIndices : withoutMemory).push_back(index);
+  }
+  found.mWithoutMemory = static_cast<std::uint32_t>(withoutMemory.size());
+  // NOTE: Where the work fits nowhere, the engines decide. A request that
+  // waited
+  //       for memory would hold up all that are queued behind it, and the
+  //       stated maximum of its output may be far too high.
+  if (found.mIndices.empty()) {
+    found.mIndices = std::move(withoutMemory);
   }
   return found;
 }
--- a/Libraries/LibRelay/EndpointRegistry.cpp
+++ b/Libraries/LibRelay/EndpointRegistry.cpp
@@ -185,14 +185,14 @@
   basis.mExpectedSeconds =
     ExpectedFirstEventSeconds(aQuery.mPool, aQuery.mWork);
   basis.mSecondsPerToken = SecondsPerToken(latency);
-  // NOTE: The lengths and models of prompts from other VMs are unknown; the
-  // mean
-  //       over all models is assumed and, before there is one, this prompt.
+  // NOTE: The lengths and models of prompts from other VMs are unknown. The
+  //       mean over all models is assumed and, before there is one, this
+  //       prompt.
   const auto mix = mPromptWork.find(aQuery.mPool);
   basis.mSecondsPerWaiting =
     mix == mPromptWork.end()
       ? PromptWorkSeconds(aQuery.mWork.mPromptTokens, 0, basis.mSecondsPerToken)
-      : mix->second.mMeanSeconds;
+      : mix->second.mMeanUnreadSeconds;
   if (mix != mPromptWork.end()) {
     basis.mMix = mix->second;
     basis.mSizeStrength =
@@ -235,7 +235,10 @@
         return aView.mIndex == *decision.mIndex;
       });
     selection.mEndpoint = all[*decision.mIndex];
-    selection.mExpectedFirstEventSeconds = chosen->mSecondsPerRequest;
+    // NOTE: The limit on silence follows from this time. The pace changes
+    //       several times a second and must not stretch a limit of seconds.
+    selection.mExpectedFirstEventSeconds =
+      chosen->mSecondsPerRequest / PaceFactorOf(*selection.mEndpoint, aNow);
     selection.mSizePlacement =
       SizePlacementOf(*selection.mEndpoint, aQuery.mWork, basis);
   }
@@ -252,16 +255,19 @@
   const bool isCached = aWork.mSharedPrefixHash != 0 &&
                         CachesPrefix(aEndpoint, aWork.mSharedPrefixHash, aNow);
   const std::string& pool = aEndpoint.mRecord.mPool;
-  const double seconds = PromptWorkSeconds(
-    aWork.mPromptTokens,
-    isCached ? aWork.mSharedPrefixTokens : 0,
-    SecondsPerToken(LatencyModelOf(pool, aWork).mPromptLatency));
+  const double secondsPerToken =
+    SecondsPerToken(LatencyModelOf(pool, aWork).mPromptLatency);
+  const double seconds =
+    PromptWorkSeconds(aWork.mPromptTokens,
+                      isCached ? aWork.mSharedPrefixTokens : 0,
+                      secondsPerToken);
   aEndpoint.mPlacedWork =
     WithPrompt(std::move(aEndpoint.mPlacedWork),
                { aWork.mModel, aWork.mPromptTokens, seconds },
                aNow);
   PromptWorkMix& mix = mPromptWork[pool];
-  mix = WithPrompt(mix, seconds);
+  mix = WithPrompt(
+    mix, PromptWorkSeconds(aWork.mPromptTokens, 0, secondsPerToken), seconds);
 }
 
 void EndpointRegistry::RecordAttempt(Endpoint& aEndpoint,
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -427,15 +427,9 @@
   }
   mIsOver = true;
   mTimer.Cancel();
-  mQueueTimer.Cancel();
-  EndInquiry("abandoned");
+  EndInquiry(kAbandonedInquiry);
   mFallbackTimer.Cancel();
-  if (mQueueTicket) {
-    PoolQueue& queue = mState->mQueues[mPool];
-    queue.mQueue.Remove(*mQueueTicket);
-    queue.mWaiting.erase(*mQueueTicket);
-    mQueueTicket.reset();
-  }
+  LeaveQueue();
   for (const Attempt& attempt : mAttempts) {
     if (!attempt.mIsOver) {
       mAttemptTrace += " [" + attempt.mEndpoint->mRecord.mId + " open]";
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -179,6 +179,7 @@
   void EndInquiry(std::string_view aOutcome);
   // ExchangeQueue.cpp: waiting for a free slot, and refusals for lack of one.
   void JoinQueue();
+  void LeaveQueue();
   /// Expected prompt work, in which shares of accounts are measured.
   double PromptSeconds(const AttemptWork& aWork) const;
   /// Counts the work that starts toward the account's share in the pool.
@@ -241,6 +242,7 @@
   void EndEvidence(Attempt& aAttempt, AttemptEnd aEnd);
   void CancelOthers(const Attempt* aNeeded);
   void ForwardResponse(Attempt& aAttempt);
+  bool HasOpenAttempt() const;
   void RetryOrFail(AttemptEnd aEnd);
   bool MayAttemptAgain() const;
   std::int64_t AttemptsLeft() const;
--- a/Libraries/LibRelay/ExchangeCascade.cpp
+++ b/Libraries/LibRelay/ExchangeCascade.cpp
@@ -229,6 +229,7 @@
     return;
   }
   mFallbackTimer.Cancel();
+  LeaveQueue();
   RecordFallback(aCause);
   const TimePoint now = MonotonicNow();
   for (Attempt& attempt : mAttempts) {
--- a/Libraries/LibRelay/ExchangeCrashes.cpp
+++ b/Libraries/LibRelay/ExchangeCrashes.cpp
@@ -137,7 +137,10 @@
                           if (aHasEnded && isSuspect) {
                             self->RecordCrashUnder(aAttempt, hadBegun);
                           }
-                          if (!isWaiting || self->mIsOver) {
+                          // NOTE: Another attempt may have begun a stream or
+                          // keep an answer meanwhile.
+                          if (!isWaiting || self->mIsOver ||
+                              self->HasOpenAttempt()) {
                             return;
                           }
                           if (aHasEnded) {
--- a/Libraries/LibRelay/ExchangeInquiry.cpp
+++ b/Libraries/LibRelay/ExchangeInquiry.cpp
@@ -15,6 +15,7 @@
     mAttempts.empty() && !mQueueTicket && (!mInquiry || !mInquiry->mIsOver);
   return isFirstChoice && pool != nullptr && !pool->mHealthPath.empty() &&
          mState->mCodec.mEncodeHealthQuery &&
+         mState->mCodec.mDecodeHealthAnswer &&
          mState->mRegistry.ReportsPace(mPool);
 }
 
@@ -178,7 +179,9 @@
   mState->mMetrics.Count(
     "acaciavale_relay_inquiries_total",
     { { "pool", mPool }, { "outcome", std::string(aOutcome) } });
-  if (now - mInquiry->mStartedAt >= mInquiry->mLimit &&
+  // NOTE: A health path that answers without a load is of as little use as one
+  //       that does not answer.
+  if (aOutcome != kAbandonedInquiry &&
       std::none_of(mInquiry->mCandidates.begin(),
                    mInquiry->mCandidates.end(),
                    [](const Inquiry::Candidate& aCandidate) {
--- a/Libraries/LibRelay/ExchangeQueue.cpp
+++ b/Libraries/LibRelay/ExchangeQueue.cpp
@@ -45,7 +45,10 @@
         { "share", ShareClass(queue.Shares(aNow), account) } },
       seconds);
   }
-  queue.RecordStart(account, seconds, aNow);
+  // NOTE: Callers state the length of their prompts. One false statement must
+  //       not outweigh the work of all others.
+  queue.RecordStart(
+    account, std::min(seconds, InSeconds(mRoute->mTimeout)), aNow);
 }
 
 void Exchange::RefuseForCapacity()
@@ -128,6 +131,18 @@
     kTimeToCatchUp);
 }
 
+void Exchange::LeaveQueue()
+{
+  mQueueTimer.Cancel();
+  if (!mQueueTicket) {
+    return;
+  }
+  PoolQueue& poolQueue = mState->mQueues[mPool];
+  poolQueue.mQueue.Remove(*mQueueTicket);
+  poolQueue.mWaiting.erase(*mQueueTicket);
+  mQueueTicket.reset();
+}
+
 bool Exchange::TryLeaveQueue()
 {
   if (mIsOver || !mQueueTicket) {
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -285,8 +285,7 @@
   outcome.mFailed =
     aEnd != AttemptEnd::Answered && aEnd != AttemptEnd::Cancelled;
   // NOTE: An endpoint that asks for quiet is well. Ejecting it would prolong
-  // the
-  //       time that it asked for.
+  //       the time that it asked for.
   outcome.mCountsAsEvidence =
     aEnd != AttemptEnd::Cancelled &&
     aAttempt.mResponseInfo.mQuietTime.mDuration == Duration{};
@@ -415,14 +414,19 @@
   RetryOrFail(end);
 }
 
-void Exchange::RetryOrFail(AttemptEnd aEnd)
+/// Whether an attempt is open whose answer is not merely kept.
+bool Exchange::HasOpenAttempt() const
 {
-  mMayHaveRun = mMayHaveRun || aEnd != AttemptEnd::NotExecuted;
-  const bool othersAreOpen = std::any_of(
+  return std::any_of(
     mAttempts.begin(), mAttempts.end(), [](const Attempt& aAttempt) {
       return !aAttempt.mIsOver && !aAttempt.mKept;
     });
-  if (othersAreOpen) {
+}
+
+void Exchange::RetryOrFail(AttemptEnd aEnd)
+{
+  mMayHaveRun = mMayHaveRun || aEnd != AttemptEnd::NotExecuted;
+  if (HasOpenAttempt()) {
     return;
   }
   if (KeptAnswer() != nullptr && IsFallbackNearer()) {
--- a/Libraries/LibRelay/PromptWork.cpp
+++ b/Libraries/LibRelay/PromptWork.cpp
@@ -66,11 +66,15 @@
                              aPlaced.mPrompts.front().mSeconds);
 }
 
-PromptWorkMix WithPrompt(PromptWorkMix aMix, double aSeconds)
+PromptWorkMix WithPrompt(PromptWorkMix aMix,
+                         double aSeconds,
+                         double aUnreadSeconds)
 {
   aMix.mSampleCount = std::min(aMix.mSampleCount + 1, 1 / kPromptWeight);
   const double weight = 1 / aMix.mSampleCount;
   aMix.mMeanSeconds += weight * (aSeconds - aMix.mMeanSeconds);
+  aMix.mMeanUnreadSeconds +=
+    weight * (aUnreadSeconds - aMix.mMeanUnreadSeconds);
   const bool isLong = aSeconds > kLongPromptFactor * aMix.mMeanSeconds;
   aMix.mLongSeconds += weight * ((isLong ? aSeconds : 0) - aMix.mLongSeconds);
   aMix.mLongShare += weight * ((isLong ? 1 : 0) - aMix.mLongShare);
--- a/Tests/LibRelay/TestEndpointPace.cpp
+++ b/Tests/LibRelay/TestEndpointPace.cpp
@@ -145,6 +145,23 @@
   CHECK(EndpointOf("second").mSlowness > 1.1);
 }
 
+/// Guards against a limit on the silence of an endpoint that one figure
+/// stretches or shortens by up to twenty times.
+TEST(RegistryPace, ThePaceDoesNotChangeTheExpectedTime)
+{
+  const double usual =
+    mRegistry.Choose(mQuery, mRandom, At(1)).mExpectedFirstEventSeconds;
+  for (const double pace : { 0.1, 20.0 }) {
+    for (const char* const id : { "first", "second", "third" }) {
+      mRegistry.RecordLoad(EndpointOf(id), { 0, 0, 8, pace }, At(1));
+    }
+    DOUBLES_EQUAL(
+      usual,
+      mRegistry.Choose(mQuery, mRandom, At(1)).mExpectedFirstEventSeconds,
+      1e-6);
+  }
+}
+
 /// Guards against candidates that differ from those which the selection
 /// prefers, and against a choice outside the given endpoints.
 TEST(RegistryPace, RanksAndRestrictsCandidates)
--- a/Tests/LibRelay/TestPromptWork.cpp
+++ b/Tests/LibRelay/TestPromptWork.cpp
@@ -78,11 +78,13 @@
 {
   PromptWorkMix mix;
   for (int prompt = 0; prompt < 10; ++prompt) {
-    mix = WithPrompt(mix, prompt == 0 ? 2.0 : 0.1);
+    const double seconds = prompt == 0 ? 2.0 : 0.1;
+    mix = WithPrompt(mix, seconds, seconds / 2);
   }
   DOUBLES_EQUAL(0.29, mix.mMeanSeconds, 1e-9);
+  DOUBLES_EQUAL(0.145, mix.mMeanUnreadSeconds, 1e-9);
   for (int prompt = 0; prompt < 600; ++prompt) {
-    mix = WithPrompt(mix, 0.1);
+    mix = WithPrompt(mix, 0.1, 0.1);
   }
   DOUBLES_EQUAL(0.1, mix.mMeanSeconds, 0.01);
 }
--- a/Tests/LibRelay/TestSizeAffinity.cpp
+++ b/Tests/LibRelay/TestSizeAffinity.cpp
@@ -20,7 +20,8 @@
 {
   PromptWorkMix mix;
   for (int prompt = 0; prompt < 700; ++prompt) {
-    mix = WithPrompt(mix, prompt % 7 == 0 ? kLongSeconds : kShortSeconds);
+    const double seconds = prompt % 7 == 0 ? kLongSeconds : kShortSeconds;
+    mix = WithPrompt(mix, seconds, seconds);
   }
   return mix;
 }
@@ -92,7 +93,7 @@
 {
   PromptWorkMix mix = MixOfTheDesk();
   for (int prompt = 0; prompt < 600; ++prompt) {
-    mix = WithPrompt(mix, kShortSeconds);
+    mix = WithPrompt(mix, kShortSeconds, kShortSeconds);
   }
   CHECK(mix.mLongShare < 0.001);
   CHECK(SizeAffinitySeconds({ 9, 10 }, mix, kLongSeconds, 1) <=
@@ -108,7 +109,8 @@
   DOUBLES_EQUAL(0, SizeAffinitySeconds({ 0, 5 }, mix, 1, 1), 1e-9);
   Random random(4);
   for (int prompt = 0; prompt < 300; ++prompt) {
-    mix = WithPrompt(mix, 0.1 + 0.05 * random.Unit());
+    const double seconds = 0.1 + 0.05 * random.Unit();
+    mix = WithPrompt(mix, seconds, seconds);
   }
   for (std::uint32_t rank = 0; rank < 5; ++rank) {
     DOUBLES_EQUAL(0, SizeAffinitySeconds({ rank, 5 }, mix, 0.12, 1), 1e-9);
@@ -250,3 +252,15 @@
   }
   UNSIGNED_LONGS_EQUAL(10, placed.size());
 }
+
+/// Guards against short prompts that count as long because most prompts have
+/// cached parts: sizes are compared as if nothing were cached.
+TEST(SizeAffinity, CachedPartsDoNotChangeTheSize)
+{
+  PromptWorkMix mix;
+  for (int prompt = 0; prompt < 200; ++prompt) {
+    mix = WithPrompt(mix, kShortSeconds, prompt % 10 == 0 ? kShortSeconds : 0);
+  }
+  CHECK(!IsLongPrompt(mix, kShortSeconds));
+  CHECK(mix.mMeanUnreadSeconds < 0.2 * mix.mMeanSeconds);
+}
--- a/Tests/Platform/TestCascadeFallback.cpp
+++ b/Tests/Platform/TestCascadeFallback.cpp
@@ -212,6 +212,72 @@
   CHECK(HasFallenBack("failed"));
 }
 
+/// Guards against an unsure answer while another endpoint could still give the
+/// better one in time.
+TEST(CascadeFallback, AnotherEndpointIsAskedAfterARefusal)
+{
+  mFixture.mRouteGoalMs = 3000;
+  int calls = 0;
+  StartWith(AnswerUnsurely, [&calls](Replica& aSelf, const auto& aSession) {
+    calls += 1;
+    if (calls == 1) {
+      RefuseWith(503, true)(aSelf, aSession);
+    } else {
+      AnswerSurely(aSelf, aSession);
+    }
+  });
+  CheckIsLarge(CallSized());
+  LONGS_EQUAL(2, ArrivalsFor("large"));
+}
+
+/// Guards against a stream that is aborted at the end of its time in the queue,
+/// after a kept answer was delivered from there.
+TEST(CascadeFallback, AnAnswerDeliveredFromTheQueueIsWhole)
+{
+  std::string answer;
+  mFixture.mRouteGoalMs = 3000;
+  StartWithLittleMemory(
+    [this, &answer](Replica& aSelf, const auto& aSession) {
+      const auto id = aSession->OpenRequest()["Attempt-Id"];
+      if (id.starts_with("filler")) {
+        return;
+      }
+      Begin(aSelf, aSession, "5", "");
+      After(std::chrono::milliseconds(300), [&answer, aSession] {
+        for (int event = 1; event <= 30; ++event) {
+          answer += Event(event, std::string(kThirdOfRoom / 20, 'x'));
+          aSession->SendChunk(
+            Event(event, std::string(kThirdOfRoom / 20, 'x')));
+        }
+      });
+      After(std::chrono::milliseconds(2600), [&answer, aSession] {
+        answer += Event(31, "end");
+        aSession->SendChunk(Event(31, "end"));
+        aSession->EndStream();
+      });
+    },
+    RefuseWith(503, true));
+  TakeThirdsOfRoom(2);
+  for (int filler = 0; filler < 14; ++filler) {
+    mFixture.StartCall({ "POST",
+                         "/sized/x",
+                         "body",
+                         { { "Key", "key-1" },
+                           { "Attempt-Id", "filler-" + std::to_string(filler) },
+                           { "Deadline-Ms", "4000" },
+                           { "Model", "*" },
+                           { "Token-Usage", "4000,200" } } },
+                       mFixture.mNode->CallerAddress(),
+                       std::make_shared<Response>(),
+                       [] {});
+  }
+  mFixture.RunUntil([this] { return ArrivalsFor("small") == 14; });
+  const Response response = CallSized();
+  CHECK(response.mResult == CallResult::Complete);
+  CHECK(response.mBody == answer);
+  CHECK(HasFallenBack("no-room"));
+}
+
 TEST(CascadeFallback, ALargerEndpointThatFailsDoesNotCostTheAnswer)
 {
   StartWith(AnswerUnsurely, BreakConnection());
--- a/Tests/Platform/TestViewWait.cpp
+++ b/Tests/Platform/TestViewWait.cpp
@@ -45,5 +45,6 @@
     CallBeforeTheStoreServes(std::chrono::milliseconds(1500), "900");
   LONGS_EQUAL(503, response.mHead.result_int());
   CHECK(response.mHead.count("Retry-After") == 1);
+  CHECK(MonotonicNow() - begin > std::chrono::milliseconds(200));
   CHECK(MonotonicNow() - begin < std::chrono::milliseconds(900));
 }
--- a/include/Acaciavale/LibRelay/CandidateInquiry.h
+++ b/include/Acaciavale/LibRelay/CandidateInquiry.h
@@ -36,10 +36,17 @@
 /// Limit on the time that an inquiry may take.
 Duration InquiryTimeout(const InquiryQuery& aQuery);
 
+/// Usual time of an answer before any was observed: connecting and asking
+/// within a failure domain and in another one, on average.
+inline constexpr double kPriorAnswerSeconds = 0.005;
+
+/// Outcome of an inquiry whose request ended meanwhile.
+inline constexpr std::string_view kAbandonedInquiry = "abandoned";
+
 /// The usual time until an inquiry is answered, as observed by this VM.
 struct InquiryTiming
 {
-  double mAnswerSeconds = 0; ///< Smoothed; of no weight before an answer.
+  double mAnswerSeconds = kPriorAnswerSeconds; ///< Smoothed.
   TimePoint mUpdatedAt{};
 
   auto operator<=>(const InquiryTiming&) const = default;
--- a/include/Acaciavale/LibRelay/EndpointCandidates.h
+++ b/include/Acaciavale/LibRelay/EndpointCandidates.h
@@ -30,9 +30,10 @@
   /// Endpoints that may run the work and were not tried, with those that have
   /// no room now.
   std::uint32_t mUsable = 0;
-  /// Usable ones at their limit of attempts, or without memory for the work.
-  std::uint32_t mFull = 0;
-  std::uint32_t mWithoutMemory = 0; ///< Those of them that only lack memory.
+  std::uint32_t mFull = 0; ///< Usable ones at their limit of attempts.
+  /// Usable ones that only lack memory for the work; candidates if there are no
+  /// others.
+  std::uint32_t mWithoutMemory = 0;
   LimitedEndpoints mLimited;
   /// Earliest end of the quiet times of endpoints that may run the work.
   std::optional<TimePoint> mQuietUntil;
--- a/include/Acaciavale/LibRelay/EndpointRegistry.h
+++ b/include/Acaciavale/LibRelay/EndpointRegistry.h
@@ -196,7 +196,7 @@
   /// that may run the work have limits or are full.
   LimitedEndpoints mLimited;
   bool mIsAnyFull = false; ///< Some of them are at their limit of attempts.
-  /// Endpoints that only lack memory for the work; they count as full.
+  /// Endpoints that only lack memory for the work.
   std::uint32_t mWithoutMemory = 0;
   double mExpectedFirstEventSeconds = 0;
   /// How the prompt's size affected the choice; empty while it does not.
--- a/include/Acaciavale/LibRelay/PromptWork.h
+++ b/include/Acaciavale/LibRelay/PromptWork.h
@@ -41,8 +41,8 @@
 PlacedWork WithPrompt(PlacedWork aPlaced, PlacedPrompt aPrompt, TimePoint aNow);
 
 /// Returns the work without the earliest prompt of the model and length, which
-/// was read or is not needed any more. Such prompts have the same work, so it
-/// does not matter which of them it was.
+/// was read or is not needed any more. Such prompts have the same work, apart
+/// from the parts that were cached, which evens out when the others end.
 PlacedWork WithoutPrompt(PlacedWork aPlaced,
                          const std::string& aModel,
                          std::int64_t aTokens,
@@ -63,13 +63,18 @@
 struct PromptWorkMix
 {
   double mSampleCount = 0; ///< Number of samples, up to the averaging window.
-  double mMeanSeconds = 0; ///< Mean work of a prompt.
+  double mMeanSeconds = 0; ///< Mean work of a prompt, all of it unread.
+  double mMeanUnreadSeconds = 0; ///< Mean work without cached parts.
   double mLongSeconds = 0; ///< Part of this mean that long prompts make up.
   double mLongShare = 0;   ///< Share of the prompts that are long.
 
   auto operator<=>(const PromptWorkMix&) const = default;
 };
 
-PromptWorkMix WithPrompt(PromptWorkMix aMix, double aSeconds);
+/// Adds a prompt with its whole work, by which its size is measured, and with
+/// the part of it that its endpoint has not cached.
+PromptWorkMix WithPrompt(PromptWorkMix aMix,
+                         double aSeconds,
+                         double aUnreadSeconds);
 
 } // namespace Acaciavale::Relay
--- a/include/Acaciavale/LibRelay/WaitQueue.h
+++ b/include/Acaciavale/LibRelay/WaitQueue.h
@@ -149,11 +149,12 @@
 
 /// The delay after which the caller of a refused request should retry. Returns
 /// follow one another at the rate at which the queue starts requests, after the
-/// time in which the queued requests start. A caller is never told an earlier
-/// time than one of the same or a higher urgency that was refused before, until
-/// the longest delay is reached; callers then keep the distance with which they
-/// were refused. The delay is extended by up to a quarter, by aJitter in
-/// [0, 1], as other VMs refuse requests at the same time.
+/// time in which the queued requests start. Apart from the random spread, a
+/// caller is never told an earlier time than one of the same or a higher
+/// urgency that was refused before, until the longest delay is reached; callers
+/// then keep the distance with which they were refused. The delay is extended
+/// by up to a quarter, by aJitter in [0, 1], as other VMs refuse requests at
+/// the same time.
 Duration RetryAfter(RetrySchedule& aSchedule,
                     const StartInterval& aInterval,
                     std::size_t aAhead,
