--- a/Libraries/LibRelay/CandidateInquiry.cpp
+++ b/Libraries/LibRelay/CandidateInquiry.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// Least prompt work as a multiple of the time that an inquiry takes. On the
-/// reader service, work takes 2.5 times as long in 15 % of the time, so the
-/// choice among candidates saves about 0.2 times the work. Twice that of the
-/// inquiry's time is required, as its queries also have a price.
+/// Least prompt work as a multiple of the time that an inquiry takes. Where
+/// work takes 2.5 times as long in 15 % of the time (docs/design/HARD_LOAD.md),
+/// the choice among candidates saves about 0.2 times the work. Twice that of
+/// the inquiry's time is required, as its queries also have a price.
 constexpr double kMinimumWorkRatio = 10;
 /// Work ratio from which a third candidate is queried. It saves 0.03 times the
 /// work beyond two, as both are slow in 2 % of the cases.
@@ -29,9 +29,10 @@
 constexpr double kUnansweredMultiple = 4;
 /// Half-life of what was observed about the time of answers.
 constexpr double kTimingHalfLifeSeconds = 10;
-/// Inquiries per second and VM. The reader service has 88.5 long prompts a
-/// second on 91 VMs; at 0.013 for each of up to 30 queries, a VM spends at most
-/// a quarter of what one request is worth per second.
+/// Inquiries per second and VM, ten times the long prompts that reach a VM of
+/// the deployment in docs/design/HARD_LOAD.md (88.5 a second on 91 VMs); at
+/// 0.013 for each of up to 30 queries, a VM spends at most a quarter of what
+/// one request is worth per second.
 constexpr double kInquiriesPerSecond = 10;
 constexpr double kBurst = 10;
 
--- a/Tests/LibRelay/TestCascadeFallback.cpp
+++ b/Tests/LibRelay/TestCascadeFallback.cpp
@@ -39,8 +39,7 @@
 }
 
 /// Guards against an unsure answer in place of a better one that would have
-/// been in time: a wait of three times the expected time sent out unsure
-/// answers for a third of the requests of a quiet day.
+/// been in time: three times the expected time may end long before the goal.
 TEST(CascadeFallback, ASlowButTimelyLargerModelIsAwaited)
 {
   mTimes.mGoalLeft = 1.5;
