--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -511,6 +511,17 @@
     return count;
   }
 
+  /// Executes a call without an answer; returns its status.
+  int Execute(const Request& aRequest)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    EndLeases();
+    int status = 200;
+    Json body;
+    Answer(aRequest, status, body);
+    return status;
+  }
+
   std::atomic<long> mCalls{ 0 };
   /// May answer a call in place of the store; returns whether it did.
   std::function<bool(Connection&, const Request&)> mIntercept;
@@ -904,6 +915,7 @@
 
   int Front() const { return mFront; }
   int Ready() const { return mReady; }
+  int Directory() const { return mDirectory; }
   pid_t Pid() const { return mPid; }
   const std::string& Name() const { return mName; }
 
