Review case 8: an early answer cuts off the rest of the request's body

A replica that answers before it has read a long body gets only the part of it that the kernel had taken; the client gets its success.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
 # Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
 folder="$(cd "$(dirname "$0")" && pwd)"
-exec "$folder/../standins-2/run-case.sh" "$folder" unsure-stream
+exec "$folder/../standins-2/run-case.sh" "$folder" early-answer
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,9 +4,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/standins-2/*.cpp; do
+for source in review/standins-2/*.cc; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" \
-    -o "target/review-2/$(basename "$source" .cpp)" &
+    -o "target/review-2/$(basename "$source" .cc)" &
 done
 for job in $(jobs -p); do
   wait "$job"
--- a/review/standins-2/early-settings.cpp
+++ b/review/standins-2/early-settings.cc
@@ -1,7 +1,7 @@
 // The machine's process is killed and starts again; a second later the platform
-// changes its settings (its store has another address) and sends SIGHUP. The rule
-// RECOVER is checked from `recover-s` after the start on.
-#include "kit.h"
+// changes its settings (its store has another address) and sends SIGHUP. The
+// rule RECOVER is checked from `recover-s` after the start on.
+#include "kit.hh"
 
 using namespace Kit;
 
@@ -26,8 +26,8 @@
   const auto newAddress = store.OtherAddress();
   store.Put("op/config",
             Config(7,
-                   Json::array(
-                     { PlainRoute("r-signoff", "/signoff/", "non_idempotent") }),
+                   Json::array({ PlainRoute(
+                     "r-signoff", "/signoff/", "non_idempotent") }),
                    Json::array({ Tenant("carrier", "key-of-carrier") })));
   Replica replica1(store, "records-api", "i-1", AnswerAfter(0.015));
   Replica replica2(store, "records-api", "i-2", AnswerAfter(0.015));
--- a/review/standins-2/emptied-tenants.cpp
+++ b/review/standins-2/emptied-tenants.cc
@@ -1,7 +1,7 @@
 // A configuration takes the keys away from the only tenant by removing it; the
 // list of tenants is empty from then on. Requests with the key, and with a key
 // that was never held, must not run later than `revoke-ms` after the ack.
-#include "kit.h"
+#include "kit.hh"
 
 using namespace Kit;
 
@@ -25,10 +25,9 @@
   OpenRecord(aArguments[2]);
   const bool hasTrouble = HasTrouble();
   Store store;
-  store.Put("op/config",
-            Config(7,
-                   Routes(),
-                   Json::array({ Tenant("carrier", "key-of-carrier") })));
+  store.Put(
+    "op/config",
+    Config(7, Routes(), Json::array({ Tenant("carrier", "key-of-carrier") })));
   Replica replica1(store, "records-api", "i-1", AnswerAfter(0.015));
   Replica replica2(store, "records-api", "i-2", AnswerAfter(0.015));
   Machine machine1("edge-1", aArguments[1], store.Port());
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.hh
@@ -1,6 +1,7 @@
-// Stand-ins for the cases of review/REPORT-2.md: the platform's store, replicas,
-// clients, and the machines' processes. They follow the users' pages and run as
-// threads of one process that talks to acaciavale-node over loopback sockets.
+// Stand-ins for the cases of review/REPORT-2.md: the platform's store,
+// replicas, clients, and the machines' processes. They follow the users' pages
+// and run as threads of one process that talks to acaciavale-node over loopback
+// sockets.
 #pragma once
 
 #include <nlohmann/json.hpp>
@@ -67,7 +68,8 @@
   sRecord << time << aLine << std::endl;
 }
 
-/// Ends the case: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+/// Ends the case: 1 if the rule was broken, 0 if it held, 2 if it could not
+/// run.
 [[noreturn]] inline void Exit(int aCode, const std::string& aReason);
 
 // ------------------------------------------------------------------- sockets
@@ -304,6 +306,18 @@
 
   bool HasCrashed() const { return mIsClosed; }
 
+  /// From now on, the handler reads the body of a request itself, from a window
+  /// of the given size.
+  void LeaveBodies(int aWindowBytes)
+  {
+    mLeavesBodies = true;
+    setsockopt(mFd, SOL_SOCKET, SO_RCVBUF, &aWindowBytes, sizeof(aWindowBytes));
+    // Segments as on a real link.
+    const int segmentBytes = 1460;
+    setsockopt(
+      mFd, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof(segmentBytes));
+  }
+
 private:
   void Listen(int aPort)
   {
@@ -369,7 +383,7 @@
       std::istringstream words(head->mFirstLine);
       words >> request.mMethod >> request.mTarget;
       const std::string length = head->Value("Content-Length");
-      if (!length.empty() &&
+      if (!length.empty() && !mLeavesBodies &&
           !connection.ReceiveBytes(std::stoul(length), request.mBody)) {
         return;
       }
@@ -381,6 +395,7 @@
   int mFd = -1;
   int mPort = 0;
   std::atomic<bool> mIsClosed{ false };
+  std::atomic<bool> mLeavesBodies{ false };
   std::mutex mMutex;
   std::set<int> mOpen;
 };
@@ -394,8 +409,8 @@
   for (const auto& [name, value] : aFields) {
     text += name + ": " + value + "\r\n";
   }
-  return text + "Content-Length: " + std::to_string(aBody.size()) +
-         "\r\n\r\n" + aBody;
+  return text + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
 }
 
 // --------------------------------------------------------------------- store
@@ -408,14 +423,14 @@
   for (std::size_t at = 0; at < aBytes.size(); at += 3) {
     unsigned bits = 0;
     for (std::size_t index = 0; index < 3; ++index) {
-      bits = bits << 8 |
-             (at + index < aBytes.size()
-                ? static_cast<unsigned char>(aBytes[at + index])
-                : 0U);
+      bits = bits << 8 | (at + index < aBytes.size()
+                            ? static_cast<unsigned char>(aBytes[at + index])
+                            : 0U);
     }
     for (std::size_t index = 0; index < 4; ++index) {
-      text += at + index > aBytes.size() ? '='
-                                         : kDigits[bits >> (18 - 6 * index) & 63];
+      text += at + index > aBytes.size()
+                ? '='
+                : kDigits[bits >> (18 - 6 * index) & 63];
     }
   }
   return text;
@@ -456,10 +471,9 @@
 {
 public:
   Store()
-    : mServer(
-        [this](Connection& aConnection, const Request& aRequest) {
-          Serve(aConnection, aRequest);
-        })
+    : mServer([this](Connection& aConnection, const Request& aRequest) {
+      Serve(aConnection, aRequest);
+    })
   {
   }
 
@@ -584,8 +598,8 @@
     std::size_t at = aTarget.find('?');
     while (at != std::string::npos) {
       const std::size_t end = aTarget.find('&', at + 1);
-      const std::string pair = aTarget.substr(
-        at + 1, end == std::string::npos ? end : end - at - 1);
+      const std::string pair =
+        aTarget.substr(at + 1, end == std::string::npos ? end : end - at - 1);
       if (pair.compare(0, aName.size() + 1, aName + "=") == 0) {
         std::string text;
         for (std::size_t index = aName.size() + 1; index < pair.size();
@@ -627,15 +641,15 @@
       EndLeases();
       Answer(aRequest, status, body);
     }
-    SendAll(
-      aConnection.mFd,
-      ResponseText(
-        status, body.dump(), { { "Content-Type", "application/json" } }));
+    SendAll(aConnection.mFd,
+            ResponseText(
+              status, body.dump(), { { "Content-Type", "application/json" } }));
   }
 
   void Answer(const Request& aRequest, int& aStatus, Json& aBody)
   {
-    const std::string path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
+    const std::string path =
+      aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
     const auto idIn = [&path](const std::string& aPrefix) {
       return std::stoll(path.substr(aPrefix.size()));
     };
@@ -738,8 +752,7 @@
 {
 public:
   /// Answers a request that this replica runs.
-  using Script =
-    std::function<void(Replica&, Connection&, const Request&)>;
+  using Script = std::function<void(Replica&, Connection&, const Request&)>;
 
   Replica(Store& aStore,
           std::string aService,
@@ -793,6 +806,9 @@
 
   bool IsCold() const { return Now() < mColdUntil; }
 
+  /// See Server.
+  void LeaveBodies(int aWindowBytes) { mServer->LeaveBodies(aWindowBytes); }
+
   std::vector<std::pair<std::string, std::string>> AnswerFields(
     const Request& aRequest) const
   {
@@ -831,11 +847,13 @@
   {
     const std::string expected = aRequest.mHead.Value("Expect-Replica");
     if (!expected.empty() && expected != mId) {
-      SendAll(aConnection.mFd, ResponseText(421, "", { { "Replica-Id", mId } }));
+      SendAll(aConnection.mFd,
+              ResponseText(421, "", { { "Replica-Id", mId } }));
       return;
     }
     if (aRequest.mMethod == "GET" && aRequest.mTarget == "/healthz") {
-      SendAll(aConnection.mFd, ResponseText(200, "", { { "Replica-Id", mId } }));
+      SendAll(aConnection.mFd,
+              ResponseText(200, "", { { "Replica-Id", mId } }));
       return;
     }
     const std::string attempt = aRequest.mHead.Value("Attempt-Id");
@@ -843,8 +861,8 @@
       const std::lock_guard<std::mutex> lock(mMutex);
       ++mRuns[attempt];
     }
-    Record("run       " + mId + " attempt=" + attempt + " " +
-           aRequest.mMethod + " " + aRequest.mTarget +
+    Record("run       " + mId + " attempt=" + attempt + " " + aRequest.mMethod +
+           " " + aRequest.mTarget +
            " tenant=" + aRequest.mHead.Value("Tenant") +
            " model=" + aRequest.mHead.Value("Model") +
            " last-event=" + aRequest.mHead.Value("Last-Event-Id"));
@@ -869,10 +887,12 @@
 /// Answers with success after the time.
 inline Replica::Script AnswerAfter(double aSeconds)
 {
-  return [aSeconds](Replica& aSelf, Connection& aConnection, const Request& aRequest) {
+  return [aSeconds](
+           Replica& aSelf, Connection& aConnection, const Request& aRequest) {
     Sleep(aSeconds);
-    SendAll(aConnection.mFd,
-            ResponseText(200, "done by " + aSelf.Id(), aSelf.AnswerFields(aRequest)));
+    SendAll(
+      aConnection.mFd,
+      ResponseText(200, "done by " + aSelf.Id(), aSelf.AnswerFields(aRequest)));
   };
 }
 
@@ -1184,16 +1204,11 @@
                        const std::string& aPrefix,
                        const std::string& aKind)
 {
-  return { { "name", aName },
-           { "host", "records.example" },
-           { "path-prefix", aPrefix },
-           { "route-kind", aKind },
-           { "timeout-ms", 1000 },
-           { "goal-ms", 100 },
-           { "priority", 0 },
-           { "service", "records-api" },
-           { "max-attempts", 3 },
-           { "public", false } };
+  return { { "name", aName },          { "host", "records.example" },
+           { "path-prefix", aPrefix }, { "route-kind", aKind },
+           { "timeout-ms", 1000 },     { "goal-ms", 100 },
+           { "priority", 0 },          { "service", "records-api" },
+           { "max-attempts", 3 },      { "public", false } };
 }
 
 inline Json Tenant(const std::string& aName, const std::string& aKey)
--- a/review/standins-2/late-registration.cpp
+++ b/review/standins-2/late-registration.cc
@@ -1,7 +1,7 @@
 // The answer to a machine's first write of its entry is lost, and the store
 // executes the write two seconds later. The machine is ready from then on, but
 // does it get new channels? Clients ask both machines where to connect.
-#include "kit.h"
+#include "kit.hh"
 
 using namespace Kit;
 
@@ -20,10 +20,11 @@
   OpenRecord(aArguments[2]);
   const bool hasTrouble = HasTrouble();
   Store store;
-  store.Put("op/config",
-            Config(7,
-                   Json::array({ PlainRoute("r-lookup", "/lookup/", "idempotent") }),
-                   Json::array({ Tenant("carrier", "key-of-carrier") })));
+  store.Put(
+    "op/config",
+    Config(7,
+           Json::array({ PlainRoute("r-lookup", "/lookup/", "idempotent") }),
+           Json::array({ Tenant("carrier", "key-of-carrier") })));
   Replica replica1(store, "records-api", "i-1", AnswerAfter(0.015));
   Replica replica2(store, "records-api", "i-2", AnswerAfter(0.015));
   Machine machine1("edge-1", aArguments[1], store.Port());
@@ -140,13 +141,13 @@
     longest = std::max(longest, at - last);
     last = std::max(last, at);
   }
-  Record("summary   edge-1 is ready since " + std::to_string(readySince) +
-         "; new channels to edge-1: " +
-         std::to_string(channels[machine1.Front()]) + ", to edge-2: " +
-         std::to_string(channels[machine2.Front()]) +
-         "; longest time without one at edge-1: " + std::to_string(longest) +
-         " s; its entry " +
-         (store.Value("vms/edge-1") ? "exists" : "does not exist"));
+  Record(
+    "summary   edge-1 is ready since " + std::to_string(readySince) +
+    "; new channels to edge-1: " + std::to_string(channels[machine1.Front()]) +
+    ", to edge-2: " + std::to_string(channels[machine2.Front()]) +
+    "; longest time without one at edge-1: " + std::to_string(longest) +
+    " s; its entry " +
+    (store.Value("vms/edge-1") ? "exists" : "does not exist"));
   if (longest > kContactSeconds) {
     Exit(1,
          "edge-1 is ready and takes no new channel for " +
--- a/review/standins-2/replica-outage.cpp
+++ b/review/standins-2/replica-outage.cc
@@ -2,7 +2,7 @@
 // seconds and come back. Then all processes of the system are killed and start
 // again. The requests of all clients share the first part of their prompts. The
 // rule RECOVER is checked from `recover-s` after the machines are back.
-#include "kit.h"
+#include "kit.hh"
 
 using namespace Kit;
 
@@ -53,19 +53,15 @@
   const bool crashes = HasTrouble() && parts != "kill";
   const bool kills = HasTrouble() && parts != "crash";
   Store store;
-  const Json route = { { "name", "r-draft" },
-                       { "host", "records.example" },
-                       { "path-prefix", "/draft/" },
-                       { "route-kind", "streaming" },
-                       { "timeout-ms", 20000 },
-                       { "goal-ms", 2000 },
-                       { "gap-goal-ms", 1500 },
-                       { "priority", 0 },
-                       { "service", "model-pool" },
-                       { "max-attempts", 3 },
-                       { "public", false },
-                       { "sticky", true },
-                       { "resumable", true } };
+  const Json route = {
+    { "name", "r-draft" },        { "host", "records.example" },
+    { "path-prefix", "/draft/" }, { "route-kind", "streaming" },
+    { "timeout-ms", 20000 },      { "goal-ms", 2000 },
+    { "gap-goal-ms", 1500 },      { "priority", 0 },
+    { "service", "model-pool" },  { "max-attempts", 3 },
+    { "public", false },          { "sticky", true },
+    { "resumable", true }
+  };
   const auto config = [&route](int aVersion) {
     return Config(aVersion,
                   Json::array({ route }),
@@ -108,20 +104,19 @@
         char own[16];
         std::snprintf(own, sizeof(own), "%08x", 0x10000000 + number);
         Record("sent      attempt=" + id + " session=" + own);
-        const Answer answer =
-          Call(machines[number % 2]->Front(),
-               "POST",
-               "/draft/1",
-               { { "Host", "records.example" },
-                 { "Attempt-Id", id },
-                 { "Model", "small" },
-                 { "Token-Usage", "826,300" },
-                 { "Prompt-Prefix",
-                   "5c1e07a2:5382," + std::string(own) + ":628" },
-                 { "Deadline-Ms", "20000" },
-                 { "Key", "key-of-carrier" } },
-               "prompt",
-               21);
+        const Answer answer = Call(
+          machines[number % 2]->Front(),
+          "POST",
+          "/draft/1",
+          { { "Host", "records.example" },
+            { "Attempt-Id", id },
+            { "Model", "small" },
+            { "Token-Usage", "826,300" },
+            { "Prompt-Prefix", "5c1e07a2:5382," + std::string(own) + ":628" },
+            { "Deadline-Ms", "20000" },
+            { "Key", "key-of-carrier" } },
+          "prompt",
+          21);
         Record("answered  attempt=" + id + " " +
                std::to_string(answer.mStatus) +
                (answer.mStatus == 503
@@ -198,7 +193,8 @@
   Sleep(6);
   shareServed(0, faultAt - 1);
   const double before = shareServed(0, finalFaultAt);
-  const double after = shareServed(back + kRecoverSeconds, back + kRecoverSeconds + 39);
+  const double after =
+    shareServed(back + kRecoverSeconds, back + kRecoverSeconds + 39);
   if (before < 0.25) {
     Exit(2, "less than a quarter is served before the final fault");
   }
