Ask for keys when the list of accounts is empty

Cause: Exchange::Begin asked for a key only if the settings held an account, and the decoder made the same value of an empty list and of a missing one.

On a related path, an empty entry among the keys of an account let requests without a key run as that account; an empty key belongs to no account now.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -85,7 +85,7 @@
     Refuse(404, "no route has this host and path");
     return;
   }
-  if (!mSettings->mAccounts.empty() && !mRoute->mPublic) {
+  if (mSettings->mRequiresKeys && !mRoute->mPublic) {
     if (!mState->AreKeysCurrent()) {
       AwaitFleetView("the settings may be out of date");
       return;
--- a/Libraries/LibRelay/RelaySettings.cpp
+++ b/Libraries/LibRelay/RelaySettings.cpp
@@ -43,6 +43,9 @@
 const ClientAccount* FindAccount(const RelaySettings& aSettings,
                                  std::string_view aKey)
 {
+  if (aKey.empty()) {
+    return nullptr;
+  }
   for (const ClientAccount& account : aSettings.mAccounts) {
     if (std::find(account.mKeys.begin(), account.mKeys.end(), aKey) !=
         account.mKeys.end()) {
--- a/Tests/LibRelay/TestRelaySettings.cpp
+++ b/Tests/LibRelay/TestRelaySettings.cpp
@@ -52,6 +52,13 @@
   POINTERS_EQUAL(nullptr, FindAccount(mSettings, ""));
 }
 
+/// Guards against an account that takes requests without a key for its own.
+TEST(RelaySettings, AnEmptyKeyBelongsToNoAccount)
+{
+  mSettings.mAccounts[0].mKeys.emplace_back();
+  POINTERS_EQUAL(nullptr, FindAccount(mSettings, ""));
+}
+
 TEST(RelaySettings, AccountPriorityIsComparedBeforeRoutePriority)
 {
   const Route& wide = mSettings.mRoutes[0];
--- a/include/Acaciavale/LibRelay/RelaySettings.h
+++ b/include/Acaciavale/LibRelay/RelaySettings.h
@@ -105,7 +105,9 @@
   std::int64_t mVersion = 0;
   std::vector<Route> mRoutes;
   std::vector<Pool> mPools;
-  /// Client accounts; if empty, requests need no key.
+  /// Whether requests need a key, unless their route is public. If so and there
+  /// is no account, no key is valid.
+  bool mRequiresKeys = false;
   std::vector<ClientAccount> mAccounts;
   RequestBounds mBounds;
 
@@ -119,7 +121,8 @@
 
 const Pool* FindPool(const RelaySettings& aSettings, std::string_view aName);
 
-/// The account that holds the key, or null.
+/// The account that holds the key, or null. No account holds an empty key,
+/// which is that of requests without one.
 const ClientAccount* FindAccount(const RelaySettings& aSettings,
                                  std::string_view aKey);
 
