Limit the heads and bodies that serve reads through libcurl

What callers would see: serve keeps what endpoints and services of the platform send in a head until it ends, and the body of a service's response whatever its size. Heads of short fields, or interim responses, need many times their size, as libcurl keeps each line.

Cause: neither callback of libcurl counted. Found by reading, on a path related to the report of bytes without end; not seen at a process.

Change: a transfer ends when its heads together have more than 512 lines or 64 KB, and a call to a service when its body exceeds 64 MB.

Before: EndpointClient.AHeadOfShortFieldsIsGivenUp failed, as 2,000 short fields were a complete head. After: it passes, with TestLibEndpoint (10 tests) and TestLibPlatform (40). The limit of a body has no test.

--- a/Libraries/LibCore/ResponseHeadProgress.cpp
+++ b/Libraries/LibCore/ResponseHeadProgress.cpp
@@ -2,6 +2,14 @@
 
 namespace Acaciavale {
 
+namespace {
+
+/// Common limits of servers on the heads of a response.
+constexpr std::size_t kMaximumLines = 512;
+constexpr std::size_t kMaximumBytes = 64U << 10;
+
+} // namespace
+
 bool IsStatusLine(std::string_view aLine)
 {
   return aLine.starts_with("HTTP/");
@@ -10,11 +18,15 @@
 ResponseHeadProgress WithHeadLine(ResponseHeadProgress aProgress,
                                   std::string_view aLine)
 {
+  aProgress.mLines += 1;
+  aProgress.mBytes += aLine.size();
   if (IsStatusLine(aLine)) {
     const std::size_t status = aLine.find(' ');
     const bool isInterim = status != std::string_view::npos &&
                            aLine.substr(status + 1).starts_with('1');
-    return { isInterim, false };
+    aProgress.mIsInterim = isInterim;
+    aProgress.mIsComplete = false;
+    return aProgress;
   }
   const bool isEnd = aLine == "\r\n" || aLine == "\n";
   if (isEnd) {
@@ -23,4 +35,9 @@
   return aProgress;
 }
 
+bool IsHeadTooLarge(const ResponseHeadProgress& aProgress)
+{
+  return aProgress.mLines > kMaximumLines || aProgress.mBytes > kMaximumBytes;
+}
+
 } // namespace Acaciavale
--- a/Libraries/LibEndpoint/EndpointClient.cpp
+++ b/Libraries/LibEndpoint/EndpointClient.cpp
@@ -118,7 +118,9 @@
   }
   transfer.mHeadProgress = WithHeadLine(transfer.mHeadProgress, line);
   ParseHeaderLine(transfer.mHeaders, line);
-  return aSize * aCount;
+  // NOTE: Returning less than the received size makes libcurl abort the
+  //       transfer.
+  return IsHeadTooLarge(transfer.mHeadProgress) ? 0 : aSize * aCount;
 }
 
 std::size_t OnBodyBytes(char* aBytes,
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t kMaxIdleHandles = 16;
+/// Far above a page of the store, the largest response.
+constexpr std::size_t kMaximumBodyBytes = 64U << 20;
 constexpr long kMaxConnectionsPerHandle = 32;
 constexpr int kFirstErrorStatus = 400;
 
@@ -57,7 +59,12 @@
                       std::size_t aCount,
                       void* aTo)
 {
-  static_cast<std::string*>(aTo)->append(aFrom, aSize * aCount);
+  std::string& body = *static_cast<std::string*>(aTo);
+  // NOTE: Returning less than the received size makes libcurl abort the call.
+  if (body.size() + aSize * aCount > kMaximumBodyBytes) {
+    return 0;
+  }
+  body.append(aFrom, aSize * aCount);
   return aSize * aCount;
 }
 
@@ -68,7 +75,7 @@
 {
   auto& progress = *static_cast<ResponseHeadProgress*>(aProgress);
   progress = WithHeadLine(progress, { aBytes, aSize * aCount });
-  return aSize * aCount;
+  return IsHeadTooLarge(progress) ? 0 : aSize * aCount;
 }
 
 long Milliseconds(Duration aTime)
--- a/Tests/LibEndpoint/TestEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestEndpointClient.cpp
@@ -219,6 +219,37 @@
   }
 }
 
+// libcurl keeps each line of a head.
+TEST(EndpointClient, AHeadOfShortFieldsIsGivenUp)
+{
+  EndpointClient client(mContext);
+  for (const std::string line :
+       { "a:\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n" }) {
+    std::string head;
+    for (int repetition = 0; repetition < 2000; ++repetition) {
+      head += line;
+    }
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    head = line.ends_with("\r\n\r\n") ? head + status : status + head;
+    ScriptedEndpoint endpoint(mContext, [&](auto& aSocket, int) {
+      WriteText(aSocket, head + "Content-Length: 0\r\n\r\n");
+    });
+    bool hasHeaders = false;
+    std::optional<TransferResult> result;
+    EndpointObserver observer;
+    observer.mOnHeaders = [&](const EndpointResponseHeaders&) {
+      hasHeaders = true;
+    };
+    observer.mOnDone = [&](const TransferResult& aResult) { result = aResult; };
+    client.Start(MakeRequest(endpoint.Address()), observer);
+    while (!result) {
+      mContext.run_one();
+    }
+    CHECK(result->mOutcome == TransferOutcome::ConnectionLost);
+    CHECK_FALSE(hasHeaders);
+  }
+}
+
 // The second copy arrives when the next request has been sent, so that nothing
 // but the connection tells whose answer it is.
 TEST(EndpointClient, ALateCopyOfAnAnswerIsNotTheNextAnswer)
--- a/include/Acaciavale/LibCore/ResponseHeadProgress.h
+++ b/include/Acaciavale/LibCore/ResponseHeadProgress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <string_view>
 
 /// Tells whether the head of an HTTP response has been received to its end.
@@ -13,6 +14,9 @@
   bool mIsInterim =
     false; ///< The latest status line is that of a 1xx response.
   bool mIsComplete = false; ///< The head of the final response has ended.
+  /// Lines and bytes of all heads, also of interim responses, and of trailers.
+  std::size_t mLines = 0;
+  std::size_t mBytes = 0;
 
   auto operator<=>(const ResponseHeadProgress&) const = default;
 };
@@ -23,4 +27,7 @@
 ResponseHeadProgress WithHeadLine(ResponseHeadProgress aProgress,
                                   std::string_view aLine);
 
+/// Whether the heads are larger than any server needs. libcurl keeps each line.
+bool IsHeadTooLarge(const ResponseHeadProgress& aProgress);
+
 } // namespace Acaciavale
