Count what parsing costs against the byte budget

What callers would see: the end of a VM's process with the requests of all.

Cause: the budget counted what was received of some bodies. Not counted were the fields of heads, at a hundred bytes each besides their text, incomplete events, comments, the doubled memory of texts that grow, and texts that were emptied but not freed. Beast's limit on a head does not hold for short fields. Comments behind an event went out without regard to the caller. Blocks that glibc keeps made it worse.

Change: heads are limited and counted by the memory that they need, in both directions; so are incomplete events and comments. Texts grow in steps to what is held, attempts that are over free theirs, and large blocks go back to the system. An attempt is not read while its caller is behind.

--- a/Libraries/LibRelay/ByteBudget.cpp
+++ b/Libraries/LibRelay/ByteBudget.cpp
@@ -16,9 +16,9 @@
 /// urgent kind, and by how much it is smaller with each step of urgency.
 constexpr double kShareOfRoom = 0.5;
 constexpr double kShareOfRoomPerUrgency = 0.03;
-/// A response of at most this size never waits for room. Their number is
-/// bounded by that of the connections.
-constexpr std::size_t kSmallResponseBytes = 16U << 10;
+/// A response of at most this size, with room for one read, never waits for
+/// room. Their number is bounded by that of the connections.
+constexpr std::size_t kSmallResponseBytes = 24U << 10;
 /// Memory that the process needs for itself: program, settings, the copy of
 /// the store's entries, logs.
 constexpr std::size_t kOwnBytes = 32U << 20;
--- a/Libraries/LibRelay/ClientSession.cpp
+++ b/Libraries/LibRelay/ClientSession.cpp
@@ -29,6 +29,9 @@
 /// Maximum size of a body that is copied to be sent with its head at once.
 constexpr std::size_t kCopiedBodyBytes = 16U << 10;
 
+/// Memory of a queued write besides its text.
+constexpr std::size_t kWriteOverheadBytes = 128;
+
 /// Maximum number of bytes that are offered to the operating system at once.
 constexpr std::size_t kMaximumWriteBytes = 64U << 10;
 
@@ -67,6 +70,7 @@
   mSocket.close(ignored);
   mWriteQueue.clear();
   mBodyHold.Release();
+  mHeadHold.Release();
   mUnwrittenBytes = 0;
   // NOTE: One of the handlers may be running; they are destroyed afterwards.
   asio::post(
@@ -120,7 +124,7 @@
 void ClientSession::Private::Write(const std::shared_ptr<ClientSession>& aSelf,
                                    std::shared_ptr<const std::string> aText)
 {
-  mUnwrittenBytes += aText->size();
+  mUnwrittenBytes += aText->size() + kWriteOverheadBytes;
   mWriteQueue.push_back(std::move(aText));
   if (!mIsWriting) {
     WriteNext(aSelf);
@@ -148,7 +152,7 @@
         session.HandleDisconnect();
         return;
       }
-      session.mUnwrittenBytes -= aWritten;
+      session.mUnwrittenBytes -= aWritten + kWriteOverheadBytes;
       session.mWriteQueue.pop_front();
       if (!session.mWriteQueue.empty()) {
         session.WriteNext(aSelf);
@@ -170,6 +174,7 @@
   mOnDisconnect = {};
   mOnDrained = {};
   mRequest = {};
+  mHeadHold.Release();
   mBody = NoBody();
   mIsResponseQueued = false;
   if (mHasBegunStream && !mIsChunked) {
--- a/Libraries/LibRelay/ClientSessionPrivate.h
+++ b/Libraries/LibRelay/ClientSessionPrivate.h
@@ -46,6 +46,9 @@
   Request mRequest;
   std::shared_ptr<const std::string> mBody = NoBody();
   ByteHold mBodyHold; ///< For the body while it is read.
+  /// For the parsed head and for received bytes that are not parsed, if they
+  /// are not small.
+  ByteHold mHeadHold;
   Phase mPhase = Phase::Idle;
   std::deque<std::shared_ptr<const std::string>> mWriteQueue;
   std::size_t mUnwrittenBytes = 0;
@@ -86,12 +89,22 @@
   void ArmTimer(const std::shared_ptr<ClientSession>& aSelf, Duration aTimeout);
   void WaitForRequest(const std::shared_ptr<ClientSession>& aSelf);
   void ReadRequest(const std::shared_ptr<ClientSession>& aSelf);
+  void ReadMoreOfHead(const std::shared_ptr<ClientSession>& aSelf);
+  void OnHeadRead(const std::shared_ptr<ClientSession>& aSelf);
   void ReadRequestBody(const std::shared_ptr<ClientSession>& aSelf);
   void ReadMoreOfBody(const std::shared_ptr<ClientSession>& aSelf);
   void OnBodyRead(const std::shared_ptr<ClientSession>& aSelf);
   /// Whether there is room for what the body needs by now. If not, the request
   /// has been refused.
   bool HoldBody(const std::shared_ptr<ClientSession>& aSelf);
+  /// Whether there is room for a head and for received bytes that are not
+  /// parsed.
+  bool HoldHead(std::size_t aParsedBytes, std::size_t aBufferBytes);
+  std::size_t MaximumBufferBytes() const;
+  /// Allows mBuffer to grow beyond its limit. Returns false if it must not.
+  bool GrowBuffer();
+  /// Refuses a request for which there is no room.
+  void RefuseForRoom(const std::shared_ptr<ClientSession>& aSelf);
   static const std::shared_ptr<const std::string>& NoBody();
   void HandleRequest(const std::shared_ptr<ClientSession>& aSelf);
   void Reject(const std::shared_ptr<ClientSession>& aSelf,
--- a/Libraries/LibRelay/ClientSessionReading.cpp
+++ b/Libraries/LibRelay/ClientSessionReading.cpp
@@ -2,6 +2,7 @@
 
 #include <Acaciavale/LibCore/Log.h>
 
+#include <algorithm>
 #include <boost/beast/http/read.hpp>
 
 /// The part of a session that reads requests.
@@ -16,6 +17,10 @@
 /// Size of a body from which the buffer for received bytes grows with it.
 constexpr std::size_t kLargeBodyBytes = 16U << 10;
 
+/// Memory for the head of a request, and for received bytes that are not
+/// parsed, above which it counts against the budget.
+constexpr std::size_t kSmallHeadBytes = 8U << 10;
+
 /// Capacity of the buffer for received bytes that a connection keeps while it
 /// is idle.
 constexpr std::size_t kIdleBufferBytes = 4U << 10;
@@ -62,6 +67,16 @@
     if (session.mPhase != Phase::Reading) {
       return;
     }
+    if (session.mPhase != Phase::Reading) {
+      return;
+    }
+    if (aError == http::error::buffer_overflow && session.GrowBuffer()) {
+      http::async_read_some(session.mSocket,
+                            session.mBuffer,
+                            *session.mParser,
+                            session.AfterRead(aSelf, aNext));
+      return;
+    }
     if (aError) {
       session.Reject(aSelf, aError);
       return;
@@ -78,11 +93,64 @@
   mParser = std::make_unique<BoundedParser<true, http::string_body>>(
     bounds.mMaximumHeaderBytes);
   mParser->body_limit(bounds.mMaximumBodyBytes);
+  mParser->LimitMemory(kSmallHeadBytes, [this](std::size_t aBytes) {
+    return HoldHead(aBytes, mBuffer.capacity());
+  });
   // NOTE: A chunk header without end must not fill the memory.
-  mBuffer.max_size(bounds.mMaximumHeaderBytes + kMaximumUnparsedBytes);
+  mBuffer.max_size(std::max(kSmallHeadBytes, mBuffer.size()));
   ArmTimer(aSelf, bounds.mHeaderTimeout);
-  http::async_read_header(
-    mSocket, mBuffer, *mParser, AfterRead(aSelf, &Private::ReadRequestBody));
+  ReadMoreOfHead(aSelf);
+}
+
+void ClientSession::Private::ReadMoreOfHead(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  http::async_read_some(
+    mSocket, mBuffer, *mParser, AfterRead(aSelf, &Private::OnHeadRead));
+}
+
+void ClientSession::Private::OnHeadRead(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  if (mParser->is_header_done()) {
+    ReadRequestBody(aSelf);
+  } else {
+    ReadMoreOfHead(aSelf);
+  }
+}
+
+bool ClientSession::Private::HoldHead(std::size_t aParsedBytes,
+                                      std::size_t aBufferBytes)
+{
+  return !mHooks->mHoldBody || mHooks->mHoldBody(mParser->get().base(),
+                                                 mHeadHold,
+                                                 aParsedBytes + aBufferBytes);
+}
+
+std::size_t ClientSession::Private::MaximumBufferBytes() const
+{
+  return mHooks->mBounds().mMaximumHeaderBytes + kMaximumUnparsedBytes;
+}
+
+bool ClientSession::Private::GrowBuffer()
+{
+  const std::size_t grown =
+    std::min(2 * mBuffer.max_size(), MaximumBufferBytes());
+  if (mBuffer.max_size() >= MaximumBufferBytes() ||
+      !HoldHead(mParser->ParsedBytes(), grown)) {
+    return false;
+  }
+  mBuffer.max_size(grown);
+  return true;
+}
+
+void ClientSession::Private::RefuseForRoom(
+  const std::shared_ptr<ClientSession>& aSelf)
+{
+  RefuseIncomplete(aSelf, http::status::service_unavailable);
+  mParser.reset();
+  mBodyHold.Release();
+  mHeadHold.Release();
 }
 
 void ClientSession::Private::ReadRequestBody(
@@ -133,9 +201,9 @@
     !mHooks->mHoldBody ||
     mHooks->mHoldBody(mParser->get().base(), mBodyHold, bytes);
   if (!isHeld) {
-    RefuseIncomplete(aSelf, http::status::service_unavailable);
-    mParser.reset();
-    mBodyHold.Release();
+    RefuseForRoom(aSelf);
+  } else if (bytes > kLargeBodyBytes) {
+    mBuffer.max_size(std::max(mBuffer.max_size(), kMaximumUnparsedBytes));
   }
   return isHeld;
 }
@@ -169,6 +237,13 @@
 void ClientSession::Private::Reject(const std::shared_ptr<ClientSession>& aSelf,
                                     const error_code& aError)
 {
+  const bool isWithoutRoom =
+    mParser->IsMemoryExceeded() || (aError == http::error::buffer_overflow &&
+                                    mBuffer.max_size() < MaximumBufferBytes());
+  if (isWithoutRoom) {
+    RefuseForRoom(aSelf);
+    return;
+  }
   http::status status = http::status::bad_request;
   const bool isHeadTooLarge = aError == http::error::header_limit ||
                               aError == http::error::buffer_overflow;
--- a/Libraries/LibRelay/EventStreamParser.cpp
+++ b/Libraries/LibRelay/EventStreamParser.cpp
@@ -1,5 +1,7 @@
 #include <Acaciavale/LibRelay/EventStreamParser.h>
 
+#include "TextMemory.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -11,6 +13,9 @@
 /// Length of the longest blank line, "\r\n\r\n".
 constexpr std::size_t kMaximumBlankLineBytes = 4;
 
+/// Capacity that an incomplete event keeps behind a larger one.
+constexpr std::size_t kKeptBytes = 32U << 10;
+
 constexpr std::string_view kId = "id";
 constexpr std::array<std::string_view, 4> kFields{ "data",
                                                    "event",
@@ -104,7 +109,7 @@
   if (mIsEventTooLarge || mIsInvalid) {
     return events;
   }
-  mIncompleteEvent += aBytes;
+  AppendInSteps(mIncompleteEvent, aBytes);
   std::size_t start = 0;
   for (;;) {
     const std::string_view left =
@@ -126,6 +131,10 @@
     mSearchedBytes = 0;
   }
   mIncompleteEvent.erase(0, start);
+  if (mIncompleteEvent.size() < kKeptBytes &&
+      mIncompleteEvent.capacity() > kKeptBytes) {
+    mIncompleteEvent.shrink_to_fit();
+  }
   mParsedBytes += start;
   mSearchedBytes = mIncompleteEvent.size();
   if (mIncompleteEvent.size() > kMaximumEventBytes) {
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -325,9 +325,8 @@
     kMaximumConnectTimeout);
   call.mStallTimeout = mSettings->mBounds.mIdleTimeout;
   CallHandlers handlers;
-  handlers.mOnHead = [self = shared_from_this(),
-                      &attempt](const ResponseHead& aHead) {
-    self->OnHead(attempt, aHead);
+  handlers.mOnHead = [self = shared_from_this(), &attempt](ResponseHead aHead) {
+    self->OnHead(attempt, std::move(aHead));
   };
   handlers.mOnBody = [self = shared_from_this(),
                       &attempt](std::string_view aBytes) {
@@ -438,8 +437,7 @@
   }
   CancelOthers(nullptr);
   for (Attempt& attempt : mAttempts) {
-    attempt.mBody = {};
-    attempt.mBodyHold.Release();
+    DropResponse(attempt);
     attempt.mKept.reset();
     attempt.mKeptHold.Release();
   }
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -37,11 +37,16 @@
   bool mIsStream =
     false; ///< Whether the events of the response are forwarded to the caller.
   ResponseHead mHead;
+  std::size_t mHeadBytes = 0; ///< Memory that mHead needs.
   ResponseInfo mResponseInfo;
   /// Body of a response that is no stream, or what was received of a stream
   /// that only the end of its connection ends.
   std::string mBody;
-  ByteHold mBodyHold;
+  /// Largest size of the body: the stated one, or a limit.
+  std::size_t mMaximumBodyBytes = 0;
+  ByteHold mBodyHold;             ///< For all that is kept of the response.
+  bool mIsAwaitingRoom = false;   ///< Not read, as there is no room for more.
+  bool mIsAwaitingCaller = false; ///< Not read, as the caller does not read.
   /// What a second response behind the body tells about the first one.
   std::optional<FirstResponse> mFirstResponse;
   EventStreamParser mEventParser;
@@ -192,7 +197,7 @@
   void RecordDuration();
 
   // ExchangeResponses.cpp: handling of the endpoints' responses.
-  void OnHead(Attempt& aAttempt, const ResponseHead& aHead);
+  void OnHead(Attempt& aAttempt, ResponseHead aHead);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
   void OnSilence(Attempt& aAttempt);
   void TakeOver(const Attempt& aAttempt);
@@ -202,12 +207,15 @@
   Duration FirstEventTimeout(double aExpectedSeconds) const;
   AttemptEnd Classify(const Attempt& aAttempt, CallResult aResult) const;
   void CloseAttempt(Attempt& aAttempt, AttemptEnd aEnd);
+  static void DropResponse(Attempt& aAttempt);
   // ExchangeBodies.cpp: bodies of responses that are no streams.
   void OnBody(Attempt& aAttempt, std::string_view aBytes);
   void HoldStatedLength(Attempt& aAttempt);
-  /// Pauses the attempt while there is no room for aBytes of its body. Returns
-  /// whether there is.
-  bool HoldResponse(Attempt& aAttempt, std::size_t aBytes);
+  void HoldNextRead(Attempt& aAttempt);
+  /// Takes the room for aBodyBytes of the body beside what else is kept of the
+  /// response, or pauses the attempt until there is room.
+  void HoldResponse(Attempt& aAttempt, std::size_t aBodyBytes);
+  static void UpdatePause(Attempt& aAttempt);
   // ExchangeStreams.cpp: the events of a stream.
   bool HasEventOutOfPlace(const std::vector<StreamEvent>& aEvents) const;
   void OnStreamBytes(Attempt& aAttempt, std::string_view aBytes);
@@ -216,6 +224,7 @@
   void OnFirstEvent(Attempt& aAttempt);
   void BeginCallerStream(const Attempt& aAttempt);
   void SendEvents(Attempt& aAttempt, const std::string& aText);
+  void SendToCaller(Attempt& aAttempt, const std::string& aText);
   // ExchangeSecondResponses.cpp: endpoints that respond to a request twice.
   bool MayHoldSecondResponse(const Attempt& aAttempt) const;
   void CutSecondResponse(Attempt& aAttempt);
--- a/Libraries/LibRelay/ExchangeBodies.cpp
+++ b/Libraries/LibRelay/ExchangeBodies.cpp
@@ -1,4 +1,5 @@
 #include "Exchange.h"
+#include "TextMemory.h"
 
 #include <algorithm>
 #include <charconv>
@@ -14,8 +15,25 @@
 /// response is considered a failure; the services of a deployment return
 /// smaller ones.
 constexpr std::size_t kMaximumBufferedBytes = 8U << 20;
-/// Room for responses that are larger is taken in steps of this size.
-constexpr std::size_t kReadAheadBytes = 256U << 10;
+/// Bytes that one read of a response adds at most.
+constexpr std::size_t kReadBytes = 8U << 10;
+/// Room for a body that may grow beyond that is taken in steps.
+constexpr std::size_t kSmallBodyBytes = 24U << 10;
+constexpr std::size_t kMediumStepBytes = 32U << 10;
+/// The steps beyond that are larger, as each copies the body.
+constexpr std::size_t kMediumBodyBytes = 256U << 10;
+constexpr std::size_t kLargeStepBytes = 256U << 10;
+
+/// The capacity of a text that holds aBytes.
+std::size_t InSteps(std::size_t aBytes)
+{
+  if (aBytes <= kSmallBodyBytes) {
+    return aBytes;
+  }
+  const std::size_t step =
+    aBytes <= kMediumBodyBytes ? kMediumStepBytes : kLargeStepBytes;
+  return (aBytes + step - 1) / step * step;
+}
 
 /// The length of the body that the head states, if any.
 std::optional<std::size_t> StatedLength(const ResponseHead& aHead)
@@ -34,9 +52,10 @@
 /// Takes the room for the whole body, if the head states its length.
 void Exchange::HoldStatedLength(Attempt& aAttempt)
 {
-  if (const auto length = StatedLength(aAttempt.mHead)) {
-    HoldResponse(aAttempt, std::min(*length, kMaximumBufferedBytes));
-  }
+  const auto length = StatedLength(aAttempt.mHead);
+  aAttempt.mMaximumBodyBytes =
+    std::min(length.value_or(kMaximumBufferedBytes), kMaximumBufferedBytes);
+  HoldResponse(aAttempt, length ? aAttempt.mMaximumBodyBytes : 0);
 }
 
 void Exchange::OnBody(Attempt& aAttempt, std::string_view aBytes)
@@ -51,34 +70,48 @@
     return;
   }
   aAttempt.mBody += aBytes;
-  HoldResponse(aAttempt, aAttempt.mBody.size());
+  HoldNextRead(aAttempt);
 }
 
-bool Exchange::HoldResponse(Attempt& aAttempt, std::size_t aBytes)
+/// Takes the room before the next bytes are read, so that a body has no more
+/// memory than is held for it.
+void Exchange::HoldNextRead(Attempt& aAttempt)
 {
-  // NOTE: Room in steps, as the text grows by more than each read.
-  const std::size_t bytes =
-    aBytes <= kReadAheadBytes
-      ? aBytes
-      : (aBytes + kReadAheadBytes - 1) / kReadAheadBytes * kReadAheadBytes;
-  const auto onRoom = [weak = weak_from_this(), &aAttempt, aBytes] {
+  HoldResponse(
+    aAttempt,
+    std::min(aAttempt.mBody.size() + kReadBytes, aAttempt.mMaximumBodyBytes));
+}
+
+void Exchange::HoldResponse(Attempt& aAttempt, std::size_t aBodyBytes)
+{
+  const std::size_t bytes = aAttempt.mHeadBytes + InSteps(aBodyBytes) +
+                            aAttempt.mEventParser.IncompleteEvent().capacity() +
+                            aAttempt.mHeldComments.capacity();
+  const auto onRoom = [weak = weak_from_this(), &aAttempt, aBodyBytes] {
     const auto self = weak.lock();
     if (!self || self->mIsOver || aAttempt.mIsOver) {
       return;
     }
-    if (self->HoldResponse(aAttempt, aBytes)) {
+    self->HoldResponse(aAttempt, aBodyBytes);
+    if (!aAttempt.mIsAwaitingRoom) {
       self->ArmSilenceTimer(aAttempt, kSilenceRecheckDelay);
-      aAttempt.mCall->SetPaused(false);
     }
   };
-  if (!mState->mBudget->TryHoldResponse(aAttempt.mBodyHold, bytes, onRoom)) {
-    aAttempt.mCall->SetPaused(true);
-    return false;
+  aAttempt.mIsAwaitingRoom =
+    !mState->mBudget->TryHoldResponse(aAttempt.mBodyHold, bytes, onRoom);
+  if (!aAttempt.mIsAwaitingRoom && aBodyBytes > kSmallBodyBytes) {
+    ReserveExactly(aAttempt.mBody, InSteps(aBodyBytes));
   }
-  if (bytes > kReadAheadBytes) {
-    aAttempt.mBody.reserve(bytes);
+  UpdatePause(aAttempt);
+}
+
+/// Reads the response unless something keeps it from being read.
+void Exchange::UpdatePause(Attempt& aAttempt)
+{
+  const bool isPaused = aAttempt.mIsAwaitingRoom || aAttempt.mIsAwaitingCaller;
+  if (isPaused != aAttempt.mCall->IsPaused()) {
+    aAttempt.mCall->SetPaused(isPaused);
   }
-  return true;
 }
 
 } // namespace Acaciavale::Relay
--- a/Libraries/LibRelay/ExchangeCascade.cpp
+++ b/Libraries/LibRelay/ExchangeCascade.cpp
@@ -1,4 +1,5 @@
 #include "Exchange.h"
+#include "TextMemory.h"
 
 #include <algorithm>
 #include <numeric>
@@ -154,7 +155,7 @@
                       return aSum + aEvent.mText.size();
                     });
   const bool hasRoom = HoldKept(aAttempt, size) && !aAttempt.mCall->IsPaused();
-  text.reserve(InSteps(size));
+  ReserveExactly(text, InSteps(size));
   for (const StreamEvent& event : aEvents) {
     const bool wasSent =
       event.mId && mLastEventId && *event.mId <= *mLastEventId;
@@ -200,6 +201,7 @@
   aAttempt.mKeptHold.Release();
   aAttempt.mCall->Cancel();
   CloseAttempt(aAttempt, AttemptEnd::Answered);
+  DropResponse(aAttempt);
 }
 
 /// Drops the kept answers, as the larger model's stream has begun.
@@ -248,6 +250,7 @@
       attempt.mCall->Cancel();
       CloseAttempt(attempt,
                    isSilent ? AttemptEnd::TimedOut : AttemptEnd::Cancelled);
+      DropResponse(attempt);
     }
   }
   const auto own =
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -108,6 +108,7 @@
     mAttemptTrace += " [" + other.mEndpoint->mRecord.mId + " silent]";
     other.mCall->Cancel();
     CloseAttempt(other, AttemptEnd::TimedOut);
+    DropResponse(other);
   }
   CancelOthers(&aAttempt);
 }
@@ -187,10 +188,12 @@
          mFailedConnections <= kMaximumFailedConnections && SecondsLeft() > 0;
 }
 
-void Exchange::OnHead(Attempt& aAttempt, const ResponseHead& aHead)
+void Exchange::OnHead(Attempt& aAttempt, ResponseHead aHead)
 {
-  aAttempt.mHead = aHead;
-  aAttempt.mResponseInfo = mState->mCodec.mDecodeResponse(aHead, mRequest);
+  aAttempt.mHead = std::move(aHead);
+  aAttempt.mHeadBytes = aAttempt.mCall->HeadBytes();
+  const ResponseHead& head = aAttempt.mHead;
+  aAttempt.mResponseInfo = mState->mCodec.mDecodeResponse(head, mRequest);
   if (aAttempt.mResponseInfo.mLoad) {
     mState->mRegistry.RecordLoad(
       *aAttempt.mEndpoint, *aAttempt.mResponseInfo.mLoad, MonotonicNow());
@@ -203,16 +206,17 @@
     OnEndpointQuiet(aAttempt);
   }
   OnEndpointLimit(aAttempt);
-  const bool isValid = IsSuccess(aHead) &&
+  const bool isValid = IsSuccess(head) &&
                        aAttempt.mResponseInfo.mHasEndpointStamp &&
                        aAttempt.mResponseInfo.mMatchesRequest &&
                        !aAttempt.mResponseInfo.mNotExecuted &&
                        !aAttempt.mResponseInfo.mIsContentEncoded;
   aAttempt.mIsStream = isValid && mRoute->mKind == RequestKind::Stream &&
                        !aAttempt.mResponseInfo.mIsOtherThanEvents &&
-                       MayHaveBody(aHead, mSession->OpenRequest().method());
+                       MayHaveBody(head, mSession->OpenRequest().method());
   if (aAttempt.mIsStream) {
     TakeOver(aAttempt);
+    HoldResponse(aAttempt, 0);
   } else {
     HoldStatedLength(aAttempt);
   }
@@ -304,6 +308,21 @@
     mState->mLoop, [state = mState, pool = mPool] { state->ServeQueue(pool); });
 }
 
+/// Frees what is kept of the response to an attempt that is over.
+void Exchange::DropResponse(Attempt& aAttempt)
+{
+  // NOTE: An assignment would keep the memory of the texts.
+  const auto free = [](auto& aValue) {
+    const auto freed = std::exchange(aValue, {});
+  };
+  free(aAttempt.mHead);
+  free(aAttempt.mBody);
+  free(aAttempt.mEventParser);
+  free(aAttempt.mHeldComments);
+  aAttempt.mHeadBytes = 0;
+  aAttempt.mBodyHold.Release();
+}
+
 /// Cancels the attempts other than aNeeded. Kept answers stay, unless no
 /// attempt is needed.
 void Exchange::CancelOthers(const Attempt* aNeeded)
@@ -313,6 +332,7 @@
     if (&attempt != aNeeded && !attempt.mIsOver && !isKept) {
       attempt.mCall->Cancel();
       CloseAttempt(attempt, AttemptEnd::Cancelled);
+      DropResponse(attempt);
     }
   }
 }
@@ -403,16 +423,18 @@
     }
     return;
   }
-  if (end == AttemptEnd::EndpointError && !mIsStreaming) {
-    mErrorResponseHead = aAttempt.mHead;
-    mErrorResponseBody =
-      ShareText(std::move(aAttempt.mBody), std::move(aAttempt.mBodyHold));
-  }
   const bool isLost =
     end == AttemptEnd::MayHaveRun &&
     (aResult == CallResult::NoResponse || aResult == CallResult::Truncated ||
      EndsWithConnection(aAttempt.mHead));
-  if (isLost && CheckLostEndpoint(aAttempt, end)) {
+  if (end == AttemptEnd::EndpointError && !mIsStreaming) {
+    mErrorResponseHead = std::move(aAttempt.mHead);
+    mErrorResponseBody =
+      ShareText(std::move(aAttempt.mBody), std::move(aAttempt.mBodyHold));
+  }
+  const bool isWaiting = isLost && CheckLostEndpoint(aAttempt, end);
+  DropResponse(aAttempt);
+  if (isWaiting) {
     return;
   }
   if (aAttempt.mKept) {
--- a/Libraries/LibRelay/ExchangeStreams.cpp
+++ b/Libraries/LibRelay/ExchangeStreams.cpp
@@ -1,4 +1,5 @@
 #include "Exchange.h"
+#include "TextMemory.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,7 +19,6 @@
   if (EndsWithConnection(aAttempt.mHead) &&
       aAttempt.mBody.size() <= kMaximumComparedBytes) {
     aAttempt.mBody += aBytes;
-    HoldResponse(aAttempt, aAttempt.mBody.size());
   }
   std::vector<StreamEvent> events = aAttempt.mEventParser.Append(aBytes);
   if (HasEventOutOfPlace(events)) {
@@ -36,7 +36,9 @@
   if (isBroken) {
     aAttempt.mCall->Cancel();
     OnEnd(aAttempt, CallResult::InvalidHttp);
+    return;
   }
+  HoldResponse(aAttempt, aAttempt.mBody.capacity());
 }
 
 /// Whether an event has no id, and the caller has events that have one, which
@@ -142,7 +144,7 @@
     if (const auto exchange = self.lock(); exchange && !exchange->mIsOver) {
       for (Attempt& attempt : exchange->mAttempts) {
         attempt.mKeptHold.Release();
-        if (!attempt.mIsOver && attempt.mCall->IsPaused()) {
+        if (!attempt.mIsOver && attempt.mIsAwaitingCaller) {
           exchange->Resume(attempt);
         }
       }
@@ -151,14 +153,24 @@
 }
 
 void Exchange::SendEvents(Attempt& aAttempt, const std::string& aText)
+{
+  SendToCaller(aAttempt, aText);
+  if (!mIsOver) {
+    ArmGapTimer(aAttempt);
+  }
+}
+
+/// Sends bytes of a stream that has begun. While the caller is behind, the
+/// attempt is not read.
+void Exchange::SendToCaller(Attempt& aAttempt, const std::string& aText)
 {
   mSession->SendChunk(aText);
   if (mIsOver) {
     return;
   }
-  ArmGapTimer(aAttempt);
   if (mSession->UnwrittenBytes() > mState->MaximumUnwrittenBytes()) {
-    aAttempt.mCall->SetPaused(true);
+    aAttempt.mIsAwaitingCaller = true;
+    UpdatePause(aAttempt);
   }
 }
 
@@ -167,7 +179,8 @@
 {
   aAttempt.mLastEventAt = MonotonicNow();
   ArmGapTimer(aAttempt);
-  aAttempt.mCall->SetPaused(false);
+  aAttempt.mIsAwaitingCaller = false;
+  UpdatePause(aAttempt);
 }
 
 void Exchange::ArmGapTimer(Attempt& aAttempt)
@@ -183,10 +196,10 @@
 {
   const bool isFirst = aAttempt.mJudged->mTiming.mEvents == 0;
   if (!isFirst && !aText.empty()) {
-    mSession->SendChunk(aText);
+    SendToCaller(aAttempt, aText);
     return;
   }
-  aAttempt.mHeldComments += aText;
+  AppendInSteps(aAttempt.mHeldComments, aText);
   if (aAttempt.mHeldComments.size() > EventStreamParser::kMaximumEventBytes) {
     aAttempt.mCall->Cancel();
     OnEnd(aAttempt, CallResult::InvalidHttp);
--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Maximum size of a response head, a common limit of servers.
-constexpr std::uint32_t kMaximumHeadBytes = 16384;
 /// Maximum number of interim responses before the response.
 constexpr int kMaximumInterimResponses = 16;
 
@@ -54,6 +52,7 @@
 void OutboundCall::Private::ResetParser()
 {
   mParser.emplace(kMaximumHeadBytes);
+  mParser->LimitMemory(kMaximumParsedHeadBytes);
   // NOTE: Without a limit (none), Beast 1.74 applies a limit of 0 to a body
   //       with a Content-Length.
   mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -62,12 +61,28 @@
   }
 }
 
-void OutboundCall::Private::Close()
+void OutboundCall::Private::Close(const std::shared_ptr<OutboundCall>& aSelf)
 {
   mIsEnded = true;
   mTimer.Cancel();
   error_code ignored; // NOTE: The connection is discarded in any case.
   mSocket.close(ignored);
+  // NOTE: A handler that uses what is freed may be running. If a read is under
+  //       way, its handler frees it.
+  asio::post(mSocket.get_executor(), [aSelf] {
+    aSelf->mPrivate->mHandlers = {};
+    aSelf->mPrivate->ReleaseInput();
+  });
+}
+
+void OutboundCall::Private::ReleaseInput()
+{
+  if (!mIsEnded || mIsReading) {
+    return;
+  }
+  mParser.reset();
+  mBuffer.clear();
+  mBuffer.shrink_to_fit();
 }
 
 void OutboundCall::Private::End(const std::shared_ptr<OutboundCall>& aSelf,
@@ -82,7 +97,7 @@
   if (aResult == CallResult::Complete && IsSending()) {
     FinishSending(aSelf);
   } else {
-    Close();
+    Close(aSelf);
   }
   const CallHandlers handlers = std::move(mHandlers);
   mHandlers = {};
@@ -130,13 +145,16 @@
 
 void OutboundCall::Private::ReadHead(const std::shared_ptr<OutboundCall>& aSelf)
 {
+  mIsReading = true;
   http::async_read_header(
     mSocket,
     mBuffer,
     *mParser,
     Guard(aSelf, [aSelf](const error_code& aError, std::size_t) {
       Private& call = *aSelf->mPrivate;
+      call.mIsReading = false;
       if (call.mIsEnded) {
+        call.ReleaseInput();
         return;
       }
       if (aError) {
@@ -160,7 +178,8 @@
         return;
       }
       call.mHasHead = true;
-      call.mHandlers.mOnHead(call.mParser->get().base());
+      call.mHeadBytes = call.mParser->ParsedBytes();
+      call.mHandlers.mOnHead(std::move(call.mParser->get().base()));
       if (call.mIsEnded) {
         return;
       }
@@ -196,6 +215,7 @@
   const error_code& aError)
 {
   if (mIsEnded) {
+    ReleaseInput();
     return;
   }
   const std::size_t bytesRead = mReadBuffer.size() - mParser->get().body().size;
@@ -235,12 +255,10 @@
 
 void OutboundCall::Cancel()
 {
-  const bool hasHandlers = !mPrivate->mIsEnded;
-  mPrivate->Close();
-  if (hasHandlers) {
-    // NOTE: A handler may call Cancel; it must not be destroyed while it runs.
-    asio::post(mPrivate->mSocket.get_executor(),
-               [self = shared_from_this()] { self->mPrivate->mHandlers = {}; });
+  // NOTE: Also behind a complete response, while the rest of the request is
+  //       sent.
+  if (mPrivate->mSocket.is_open() || !mPrivate->mIsEnded) {
+    mPrivate->Close(shared_from_this());
   }
 }
 
@@ -263,6 +281,11 @@
   return { static_cast<const char*>(bytes.data()), bytes.size() };
 }
 
+std::size_t OutboundCall::HeadBytes() const
+{
+  return mPrivate->mHeadBytes;
+}
+
 bool OutboundCall::WasWritten() const
 {
   return mPrivate->mWasWritten;
--- a/Libraries/LibRelay/OutboundCallPrivate.h
+++ b/Libraries/LibRelay/OutboundCallPrivate.h
@@ -41,9 +41,14 @@
 
   /// Maximum number of body bytes per read.
   static constexpr std::size_t kReadBufferBytes = 8192;
+  /// Maximum size of a response head, a common limit of servers.
+  static constexpr std::uint32_t kMaximumHeadBytes = 16384;
+  /// Maximum memory of a parsed head. Fields of some bytes need many times
+  /// their size.
+  static constexpr std::size_t kMaximumParsedHeadBytes = 64U << 10;
   /// Maximum number of received bytes that are not parsed yet. A chunk header
   /// or trailer that is longer than that is an error.
-  static constexpr std::size_t kMaximumUnparsedBytes = 64U << 10;
+  static constexpr std::size_t kMaximumUnparsedBytes = 20U << 10;
 
   asio::ip::tcp::socket mSocket;
   Timer mTimer;
@@ -56,6 +61,7 @@
   bool mMayPeerPause;                       ///< While it reads the body.
   bool mIsHeadRequest;
   std::optional<BoundedParser<false, http::buffer_body>> mParser;
+  std::size_t mHeadBytes = 0; ///< Memory of the parsed head.
   boost::beast::flat_buffer mBuffer{ kMaximumUnparsedBytes };
   std::array<char, kReadBufferBytes> mReadBuffer{};
   bool mIsEnded = false; ///< No handler is called any more.
@@ -64,14 +70,16 @@
   Duration mTimeWithoutProgress{};
   std::size_t mUnacknowledgedBytes = 0; ///< At the latest check of the peer.
   bool mIsPaused = false;
-  bool mIsReading = false;
+  bool mIsReading = false; ///< A read of the response is under way.
   bool mWasWritten = false;
   bool mHasHead = false;
   int mInterimResponses = 0;
 
   static std::string Serialize(const RequestHead& aHead);
   void ResetParser();
-  void Close();
+  void Close(const std::shared_ptr<OutboundCall>& aSelf);
+  /// Frees what reading needs, after the end and outside of handlers.
+  void ReleaseInput();
   void End(const std::shared_ptr<OutboundCall>& aSelf, CallResult aResult);
 
   /// Returns a handler that ends the call if the given one throws, and passes
--- a/Libraries/LibRelay/OutboundCallWriting.cpp
+++ b/Libraries/LibRelay/OutboundCallWriting.cpp
@@ -47,7 +47,7 @@
         return;
       }
       if (aError) {
-        call.Close();
+        call.Close(aSelf);
       } else {
         call.CheckPeer(aSelf);
       }
@@ -81,7 +81,7 @@
                             if (!aError) {
                               call.DiscardInput(aSelf);
                             } else if (aError != asio::error::eof) {
-                              call.Close();
+                              call.Close(aSelf);
                             }
                           });
 }
@@ -104,7 +104,7 @@
   const std::size_t unacknowledged = UnacknowledgedBytes(handle);
   if (!mIsWriting && unacknowledged == 0) {
     if (mIsEnded) {
-      Close();
+      Close(aSelf);
     }
     return;
   }
@@ -128,7 +128,7 @@
         { "answered", mIsEnded ? "true" : "false" },
         { "reason", isSilent ? "unreachable" : "not reading" } });
   if (mIsEnded) {
-    Close();
+    Close(aSelf);
   } else {
     End(aSelf, mHasHead ? CallResult::Truncated : CallResult::NoResponse);
   }
--- a/Meta/acaciavale.sh
+++ b/Meta/acaciavale.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Entry point of the development tasks: run, test, lint, build, measure, soak,
-# node-soak, fuzz.
+# node-soak, node-memory, fuzz.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD="${ACACIAVALE_BUILD:-Build}"
@@ -51,7 +51,8 @@
   measure) install_packages; build > /dev/null; exec Meta/measure.sh "$BUILD" "$@" ;;
   soak) install_packages; build > /dev/null; exec Meta/soak.sh "$BUILD" "$@" ;;
   node-soak) install_packages; exec Meta/node-soak.sh "$BUILD" "$@" ;;
+  node-memory) install_packages; build > /dev/null; exec Meta/node-memory.sh "$BUILD" "$@" ;;
   fuzz) install_packages; exec Meta/fuzz.sh "$BUILD" "$@" ;;
   *) echo "usage: Meta/acaciavale.sh run | test | lint | build | measure [SUBSET] | soak SECONDS SEED |" \
-       "node-soak SECONDS SEED | fuzz SECONDS SEED [TARGET]" ; exit 2 ;;
+       "node-soak SECONDS SEED | node-memory MEMORY_MB [FORM...] | fuzz SECONDS SEED [TARGET]" ; exit 2 ;;
 esac
--- a/Tests/LibEndpoint/TestEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestEndpointClient.cpp
@@ -230,7 +230,7 @@
       head += line;
     }
     const std::string status = "HTTP/1.1 200 OK\r\n";
-    head = line.ends_with("\r\n\r\n") ? head + status : status + head;
+    head.insert(line.ends_with("\r\n\r\n") ? head.size() : 0, status);
     ScriptedEndpoint endpoint(mContext, [&](auto& aSocket, int) {
       WriteText(aSocket, head + "Content-Length: 0\r\n\r\n");
     });
--- a/Tests/LibRelay/TestEndlessBytes.cpp
+++ b/Tests/LibRelay/TestEndlessBytes.cpp
@@ -1,5 +1,6 @@
 #include <Acaciavale/LibRelay/EventStreamParser.h>
 #include <Acaciavale/LibRelay/OutboundCall.h>
+#include <LibRelay/TextMemory.h>
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -114,6 +115,18 @@
   CheckIsRejected("HTTP/1.1 200 ", "a");
 }
 
+/// Guards against heads that need many times their size when they are parsed.
+TEST(EndlessBytes, AHeadOfShortFieldsIsRejected)
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  CheckIsRejected(status, "a:\r\n");
+  std::string head = status;
+  while (head.size() < 16000) {
+    head += "a:\r\n";
+  }
+  CheckIsRejected(head + "\r\n", "a");
+}
+
 TEST(EndlessBytes, BytesThatAreNoHttpAreRejected)
 {
   CheckIsRejected("", "a");
@@ -129,6 +142,19 @@
   CheckIsRejected(head + "0\r\nTrailer: ", "a");
 }
 
+/// Guards against texts that double their memory as they grow.
+TEST(EndlessBytes, ALargeTextGrowsInSteps)
+{
+  std::string text;
+  std::size_t largest = 0;
+  for (int append = 0; append < 32; ++append) {
+    AppendInSteps(text, std::string(8192, 'a'));
+    largest = std::max(largest, text.capacity() - text.size());
+  }
+  UNSIGNED_LONGS_EQUAL(32 * 8192, text.size());
+  CHECK(largest <= 16384);
+}
+
 /// An event without end is not kept, and its cost per byte stays constant.
 TEST(EndlessBytes, AnEventWithoutEndIsDropped)
 {
--- a/Tests/Platform/TestHeldBytes.cpp
+++ b/Tests/Platform/TestHeldBytes.cpp
@@ -1,3 +1,4 @@
+#include "RawEndpoint.h"
 #include "StandInPlatform.h"
 
 #include <CppUTest/TestHarness.h>
@@ -145,3 +146,65 @@
   }
   UNSIGNED_LONGS_EQUAL(0, HeldBytes());
 }
+
+/// Streams of which the VM keeps parts that it cannot pass on yet.
+TEST_GROUP_BASE(HeldParts, RawEndpointTest)
+{
+  std::shared_ptr<Response> mResponse = std::make_shared<Response>();
+  std::shared_ptr<Relay::OutboundCall> mCall;
+  bool mHasEnded = false;
+
+  /// Lets the endpoint send the bytes, and then nothing. Returns the most that
+  /// the VM holds meanwhile.
+  std::size_t MostHeld(const std::string& aBytes)
+  {
+    Start({ { aBytes } }, "engines", RawEndpoint::End::KeepOpen);
+    mCall =
+      mFixture.StartCall({ "POST",
+                           "/stream/x",
+                           "body",
+                           { { "Key", "key-1" }, { "Attempt-Id", "held" } } },
+                         mFixture.mNode->CallerAddress(),
+                         mResponse,
+                         [this] { mHasEnded = true; });
+    std::size_t most = 0;
+    const TimePoint until = MonotonicNow() + std::chrono::seconds(1);
+    while (MonotonicNow() < until) {
+      const std::string text =
+        mFixture.FetchPage(mFixture.mNode->MetricsAddress(), "/metrics").mBody;
+      const std::string name = "acaciavale_relay_held_bytes ";
+      most = std::max(most,
+                      static_cast<std::size_t>(std::stod(
+                        text.substr(text.rfind(name) + name.size()))));
+    }
+    return most;
+  }
+};
+
+/// Guards against events without end that count against no budget.
+TEST(HeldParts, AnIncompleteEventCounts)
+{
+  CHECK(MostHeld(RawHead("HTTP/1.1 200 OK") + "data: " +
+                 std::string(kAnswerBytes / 16, 'a')) >= kAnswerBytes / 16);
+}
+
+/// Guards against the same for comments, which wait for the first event.
+TEST(HeldParts, CommentsBeforeTheFirstEventCount)
+{
+  std::string comments;
+  while (comments.size() < kAnswerBytes / 16) {
+    comments += ": a\n\n";
+  }
+  CHECK(MostHeld(RawHead("HTTP/1.1 200 OK") + comments) >= kAnswerBytes / 16);
+}
+
+/// Guards against heads that count with less than they need when parsed.
+TEST(HeldParts, AHeadOfShortFieldsCounts)
+{
+  constexpr std::size_t kFields = 300;
+  std::string fields;
+  for (std::size_t field = 0; field < kFields; ++field) {
+    fields += "a:\r\n";
+  }
+  CHECK(MostHeld(RawHead("HTTP/1.1 200 OK", fields)) >= kFields * 64);
+}
--- a/include/Acaciavale/LibRelay/OutboundCall.h
+++ b/include/Acaciavale/LibRelay/OutboundCall.h
@@ -35,7 +35,7 @@
 struct CallHandlers
 {
   /// Handler of the head; interim responses are skipped.
-  std::function<void(const ResponseHead&)> mOnHead;
+  std::function<void(ResponseHead)> mOnHead;
   std::function<void(std::string_view)> mOnBody;
   /// Handler of the end; called once and last.
   std::function<void(CallResult)> mOnEnd;
@@ -73,8 +73,12 @@
   bool IsPaused() const;
 
   /// Bytes that were received with the end of the response and are none of it.
+  /// They are kept while the handler of the end runs.
   std::string_view ExcessBytes() const;
 
+  /// Memory that the head of the response needs.
+  std::size_t HeadBytes() const;
+
   /// Whether any byte may have reached the peer.
   bool WasWritten() const;
 
