Word the refusal for lack of room for heads too

Since heads count against the byte budget, a request may be refused for lack of room before its body is read; the log line spoke of the body only. A check that stood twice in AfterRead is gone.

--- a/Libraries/LibRelay/ClientSessionReading.cpp
+++ b/Libraries/LibRelay/ClientSessionReading.cpp
@@ -67,9 +67,6 @@
     if (session.mPhase != Phase::Reading) {
       return;
     }
-    if (session.mPhase != Phase::Reading) {
-      return;
-    }
     if (aError == http::error::buffer_overflow && session.GrowBuffer()) {
       http::async_read_some(session.mSocket,
                             session.mBuffer,
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -307,7 +307,7 @@
   mState->mMetrics.Count("acaciavale_relay_bodies_without_room_total", {});
   Log(LogLevel::Info,
       "relay",
-      "A request is refused, as there is no room for its body.",
+      "A request is refused, as there is no room for it.",
       { { "id", request.mId },
         { "account", demand.mAccount },
         { "urgency", std::to_string(demand.mUrgency) },
