Count broken answers, and log why they are broken

A broken answer stood in the line of its request as "not HTTP" or "broken off", without the reason, and was counted nowhere; one to an inquiry looked like none.

OutboundCall keeps the error that ended it, and Exchange the reason for which it rejects an answer. The line of the request has it behind the endpoint's id, and acaciavale_relay_broken_answers_total counts by pool and reason. A status is logged only if a head was read.

--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -65,6 +65,8 @@
   /// What has arrived of an answer that is kept until the stream of a larger
   /// model has begun. It is complete if the attempt is over.
   std::optional<KeptStream> mKept;
+  /// Why the answer was rejected; empty: it was not, or its call tells.
+  std::string mRejection;
   ByteHold mKeptHold; ///< Until the kept text is written to the caller.
 };
 
@@ -77,6 +79,7 @@
     std::shared_ptr<OutboundCall> mCall;
     InquiryAnswer mAnswer = InquiryAnswer::Open;
     std::optional<double> mPace{};
+    std::string mFailure{}; ///< Why the answer is broken; empty: it is not.
   };
 
   explicit Inquiry(boost::asio::io_context& aLoop)
@@ -199,6 +202,9 @@
   // ExchangeResponses.cpp: handling of the endpoints' responses.
   void OnHead(Attempt& aAttempt, ResponseHead aHead);
   void OnEnd(Attempt& aAttempt, CallResult aResult);
+  /// Ends the attempt, as its answer is not valid.
+  void RejectAnswer(Attempt& aAttempt, std::string_view aReason);
+  void CountBrokenAnswer(const std::string& aReason);
   void OnSilence(Attempt& aAttempt);
   void TakeOver(const Attempt& aAttempt);
   void ArmSilenceTimer(Attempt& aAttempt, Duration aTime);
--- a/Libraries/LibRelay/ExchangeBodies.cpp
+++ b/Libraries/LibRelay/ExchangeBodies.cpp
@@ -65,8 +65,7 @@
     return;
   }
   if (aAttempt.mBody.size() + aBytes.size() > kMaximumBufferedBytes) {
-    aAttempt.mCall->Cancel();
-    OnEnd(aAttempt, CallResult::InvalidHttp);
+    RejectAnswer(aAttempt, "body too large");
     return;
   }
   aAttempt.mBody += aBytes;
--- a/Libraries/LibRelay/ExchangeInquiry.cpp
+++ b/Libraries/LibRelay/ExchangeInquiry.cpp
@@ -83,7 +83,12 @@
                           self->mState->mCodec.mDecodeHealthAnswer(aHead));
   };
   handlers.mOnBody = [](std::string_view) {};
-  handlers.mOnEnd = [self = shared_from_this(), aIndex](CallResult) {
+  handlers.mOnEnd = [self = shared_from_this(), aIndex](CallResult aResult) {
+    if (IsBroken(aResult)) {
+      Inquiry::Candidate& broken = self->mInquiry->mCandidates[aIndex];
+      broken.mFailure = BreakReason(*broken.mCall);
+      self->CountBrokenAnswer(broken.mFailure);
+    }
     self->OnInquiryAnswer(aIndex, {});
   };
   candidate.mCall =
@@ -170,6 +175,9 @@
     mAttemptTrace +=
       ' ' + candidate.mEndpoint->mRecord.mId + '=' +
       (candidate.mPace ? std::to_string(*candidate.mPace).substr(0, 4) : "-");
+    if (!candidate.mFailure.empty()) {
+      mAttemptTrace += " (" + candidate.mFailure + ')';
+    }
   }
   const auto milliseconds =
     std::chrono::duration_cast<std::chrono::milliseconds>(now -
--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -346,6 +346,19 @@
   Finish("answered");
 }
 
+void Exchange::RejectAnswer(Attempt& aAttempt, std::string_view aReason)
+{
+  aAttempt.mCall->Cancel();
+  aAttempt.mRejection = std::string(aReason);
+  OnEnd(aAttempt, CallResult::InvalidHttp);
+}
+
+void Exchange::CountBrokenAnswer(const std::string& aReason)
+{
+  mState->mMetrics.Count("acaciavale_relay_broken_answers_total",
+                         { { "pool", mPool }, { "reason", aReason } });
+}
+
 void Exchange::OnEnd(Attempt& aAttempt, CallResult aResult)
 {
   if (mIsOver || aAttempt.mIsOver) {
@@ -367,8 +380,17 @@
     OnFirstEvent(aAttempt);
   }
   mAttemptTrace += " [" + aAttempt.mEndpoint->mRecord.mId + ' ' +
-                   std::string(Describe(aResult)) + ' ' +
-                   std::to_string(aAttempt.mHead.result_int());
+                   std::string(Describe(aResult));
+  if (IsBroken(aResult)) {
+    const std::string reason = aAttempt.mRejection.empty()
+                                 ? BreakReason(*aAttempt.mCall)
+                                 : aAttempt.mRejection;
+    CountBrokenAnswer(reason);
+    mAttemptTrace += " (" + reason + ')';
+  }
+  if (aResult != CallResult::InvalidHttp || aAttempt.mHeadBytes > 0) {
+    mAttemptTrace += ' ' + std::to_string(aAttempt.mHead.result_int());
+  }
   if (aResult == CallResult::Complete || aResult == CallResult::Truncated) {
     mAttemptTrace += ' ' + std::string(FramingOf(aAttempt.mHead));
   }
--- a/Libraries/LibRelay/ExchangeStreams.cpp
+++ b/Libraries/LibRelay/ExchangeStreams.cpp
@@ -22,8 +22,7 @@
   }
   std::vector<StreamEvent> events = aAttempt.mEventParser.Append(aBytes);
   if (HasEventOutOfPlace(events)) {
-    aAttempt.mCall->Cancel();
-    OnEnd(aAttempt, CallResult::InvalidHttp);
+    RejectAnswer(aAttempt, "event without an id");
     return;
   }
   OnEvents(aAttempt, std::move(events));
@@ -34,8 +33,7 @@
     aAttempt.mEventParser.IsEventTooLarge() ||
     (aAttempt.mEventParser.IsInvalid() && !MayHoldSecondResponse(aAttempt));
   if (isBroken) {
-    aAttempt.mCall->Cancel();
-    OnEnd(aAttempt, CallResult::InvalidHttp);
+    RejectAnswer(aAttempt, "invalid event");
     return;
   }
   HoldResponse(aAttempt, aAttempt.mBody.capacity());
@@ -201,8 +199,7 @@
   }
   AppendInSteps(aAttempt.mHeldComments, aText);
   if (aAttempt.mHeldComments.size() > EventStreamParser::kMaximumEventBytes) {
-    aAttempt.mCall->Cancel();
-    OnEnd(aAttempt, CallResult::InvalidHttp);
+    RejectAnswer(aAttempt, "comments too large");
   }
 }
 
--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -42,6 +42,16 @@
   return "unknown";
 }
 
+bool IsBroken(CallResult aResult)
+{
+  return aResult == CallResult::InvalidHttp || aResult == CallResult::Truncated;
+}
+
+std::string BreakReason(const OutboundCall& aCall)
+{
+  return aCall.Failure() ? aCall.Failure().message() : "unknown";
+}
+
 std::string OutboundCall::Private::Serialize(const RequestHead& aHead)
 {
   std::ostringstream text;
@@ -86,12 +96,14 @@
 }
 
 void OutboundCall::Private::End(const std::shared_ptr<OutboundCall>& aSelf,
-                                CallResult aResult)
+                                CallResult aResult,
+                                const error_code& aFailure)
 {
   if (mIsEnded) {
     return;
   }
   mIsEnded = true;
+  mFailure = aFailure;
   mTimer.Cancel();
   // NOTE: A peer that answers before it has read the request may read on.
   if (aResult == CallResult::Complete && IsSending()) {
@@ -164,13 +176,16 @@
           aError == http::error::end_of_stream ||
           aError == http::error::partial_message;
         call.End(aSelf,
-                 isHttp ? CallResult::NoResponse : CallResult::InvalidHttp);
+                 isHttp ? CallResult::NoResponse : CallResult::InvalidHttp,
+                 aError);
         return;
       }
       if (IsInterim(call.mParser->get().base())) {
         call.mInterimResponses += 1;
         if (call.mInterimResponses > kMaximumInterimResponses) {
-          call.End(aSelf, CallResult::InvalidHttp);
+          call.End(aSelf,
+                   CallResult::InvalidHttp,
+                   http::make_error_code(http::error::header_limit));
           return;
         }
         call.ResetParser();
@@ -226,7 +241,7 @@
     }
   }
   if (aError && aError != http::error::need_buffer) {
-    End(aSelf, CallResult::Truncated);
+    End(aSelf, CallResult::Truncated, aError);
     return;
   }
   if (mParser->is_done()) {
@@ -286,6 +301,11 @@
   return mPrivate->mHeadBytes;
 }
 
+const error_code& OutboundCall::Failure() const
+{
+  return mPrivate->mFailure;
+}
+
 bool OutboundCall::WasWritten() const
 {
   return mPrivate->mWasWritten;
--- a/Libraries/LibRelay/OutboundCallPrivate.h
+++ b/Libraries/LibRelay/OutboundCallPrivate.h
@@ -65,6 +65,7 @@
   boost::beast::flat_buffer mBuffer{ kMaximumUnparsedBytes };
   std::array<char, kReadBufferBytes> mReadBuffer{};
   bool mIsEnded = false; ///< No handler is called any more.
+  error_code mFailure;   ///< Set at the end.
   bool mIsWriting = false;
   /// Time for which the peer has taken nothing of the request.
   Duration mTimeWithoutProgress{};
@@ -80,7 +81,9 @@
   void Close(const std::shared_ptr<OutboundCall>& aSelf);
   /// Frees what reading needs, after the end and outside of handlers.
   void ReleaseInput();
-  void End(const std::shared_ptr<OutboundCall>& aSelf, CallResult aResult);
+  void End(const std::shared_ptr<OutboundCall>& aSelf,
+           CallResult aResult,
+           const error_code& aFailure = {});
 
   /// Returns a handler that ends the call if the given one throws, and passes
   /// the exception on to the loop.
--- a/Libraries/LibRelay/OutboundCallWriting.cpp
+++ b/Libraries/LibRelay/OutboundCallWriting.cpp
@@ -130,7 +130,9 @@
   if (mIsEnded) {
     Close(aSelf);
   } else {
-    End(aSelf, mHasHead ? CallResult::Truncated : CallResult::NoResponse);
+    End(aSelf,
+        mHasHead ? CallResult::Truncated : CallResult::NoResponse,
+        asio::error::timed_out);
   }
 }
 
--- a/Tests/Platform/TestBrokenAnswer.cpp
+++ b/Tests/Platform/TestBrokenAnswer.cpp
@@ -83,8 +83,21 @@
       EventsText(1, 2).c_str(), stream.mBody.c_str(), aAnswer.c_str());
     CHECK_TEXT(stream.mResult == CallResult::Complete, aAnswer.c_str());
   }
+
+  std::string Metrics()
+  {
+    return mFixture.FetchPage(mFixture.mNode->MetricsAddress(), "/metrics")
+      .mBody;
+  }
 };
 
+TEST(BrokenAnswer, AnInvalidLineInTheHeadIsCounted)
+{
+  CallWith({ AnswerWithLine("X Field: a") }, "/once/x");
+  CHECK(Metrics().find("acaciavale_relay_broken_answers_total{pool=\"desk\","
+                       "reason=\"bad field\"} 1") != std::string::npos);
+}
+
 TEST(BrokenAnswer, AnInvalidLineInTheHeadIsNone)
 {
   for (const std::string_view line : kInvalidLines) {
--- a/include/Acaciavale/LibRelay/OutboundCall.h
+++ b/include/Acaciavale/LibRelay/OutboundCall.h
@@ -4,6 +4,7 @@
 #include <Acaciavale/LibRelay/CallerRequest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/system/error_code.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,6 +33,9 @@
 
 std::string_view Describe(CallResult aResult);
 
+/// Whether something of a response was received that is not a whole, valid one.
+bool IsBroken(CallResult aResult);
+
 struct CallHandlers
 {
   /// Handler of the head; interim responses are skipped.
@@ -54,6 +58,11 @@
   CallOptions() = default;
 };
 
+class OutboundCall;
+
+/// Why the response to an ended call is broken, for logs and metrics.
+std::string BreakReason(const OutboundCall& aCall);
+
 class OutboundCall : public std::enable_shared_from_this<OutboundCall>
 {
 public:
@@ -79,6 +88,10 @@
   /// Memory that the head of the response needs.
   std::size_t HeadBytes() const;
 
+  /// Why the response is not complete or not valid, if that is known; set when
+  /// the handler of the end is called.
+  const boost::system::error_code& Failure() const;
+
   /// Whether any byte may have reached the peer.
   bool WasWritten() const;
 
