Reject answers whose status is not one of HTTP

Callers got answers of status 000, 001, 099, 600 and 999 as they came, on plain routes and streams. With the endpoint's statement that it did not run the request, such an answer was even a reason to send it elsewhere.

Cause: Beast takes any three digits for a status, and nothing looked at them. OutboundCall, by which endpoints, inquiries, the store and other VMs are read, now ends with InvalidHttp if the final status is below 100 or above 599, before anyone sees the head: the attempt failed, may have run, and promises nothing. A second response of that kind behind a refusal makes the refusal doubtful.

Handled before, and kept: a stream that is resumed, an answer behind another one, the larger model's answer in a cascade, a write of the store.

--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -1,3 +1,4 @@
+#include "HeadCheck.h"
 #include "OutboundCallPrivate.h"
 #include "SocketOptions.h"
 
@@ -192,6 +193,11 @@
         call.ReadHead(aSelf);
         return;
       }
+      const error_code failure = CheckResponseHead(call.mParser->get().base());
+      if (failure) {
+        call.End(aSelf, CallResult::InvalidHttp, failure);
+        return;
+      }
       call.mHasHead = true;
       call.mHeadBytes = call.mParser->ParsedBytes();
       call.mHandlers.mOnHead(std::move(call.mParser->get().base()));
--- a/Libraries/LibRelay/SecondResponse.cpp
+++ b/Libraries/LibRelay/SecondResponse.cpp
@@ -1,6 +1,7 @@
 #include <Acaciavale/LibRelay/SecondResponse.h>
 
 #include "BoundedParser.h"
+#include "HeadCheck.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -201,6 +202,9 @@
              aBytes.substr(found->mBegin),
              found->mEnd - found->mBegin,
              aIsHeadOfRequest);
+    if (CheckResponseHead(*second.mHead)) {
+      second.mHead.reset();
+    }
   }
   return second;
 }
--- a/Tests/Platform/TestBrokenAnswer.cpp
+++ b/Tests/Platform/TestBrokenAnswer.cpp
@@ -1,5 +1,7 @@
 #include "RawEndpoint.h"
 
+#include "StoreClient.h"
+
 using namespace Acaciavale;
 using namespace Acaciavale::Platform;
 using namespace Acaciavale::Platform::StandIns;
@@ -7,17 +9,33 @@
 
 namespace {
 
+constexpr const char* kStatuses[] = { "000", "001", "099", "600", "999" };
+
 /// Lines of a head that are no fields.
 constexpr std::string_view kInvalidLines[] = {
   "X Field: a",     "X-Field : a", " : a", "X\x01-Field: a",     "X\t-Field: a",
   "X\x7f-Field: a", "X-Field",     ": a",  { "X\0Field: a", 10 }
 };
 
+constexpr char kNotExecuted[] = "Not-Executed: 1\r\n";
+
+const std::string kRefusal =
+  RawHead("HTTP/1.1 503 Service Unavailable",
+          "Not-Executed: 1\r\nContent-Length: 0\r\n");
+
 const std::string kWhole =
   RawHead("HTTP/1.1 200 OK", "Content-Length: 5\r\n") + "whole";
 
 const std::string kWholeStream = RawHead("HTTP/1.1 200 OK") + EventsText(1, 2);
 
+std::string AnswerWithStatus(const std::string& aStatus,
+                             const std::string& aFields = {})
+{
+  return RawHead("HTTP/1.1 " + aStatus + " Strange",
+                 aFields + "Content-Length: 6\r\n") +
+         "answer";
+}
+
 std::string AnswerWithLine(std::string_view aLine)
 {
   return RawHead("HTTP/1.1 200 OK",
@@ -89,8 +107,86 @@
     return mFixture.FetchPage(mFixture.mNode->MetricsAddress(), "/metrics")
       .mBody;
   }
+
+  /// Makes the call to a store that sends the answer. Returns whether the
+  /// result was a value.
+  template<typename Value>
+  bool IsTaken(
+    const std::string& aAnswer,
+    const std::function<void(
+      StoreClient&, const std::string&, const StoreClient::Callback<Value>&)>&
+      aCall)
+  {
+    RawEndpoint store(mFixture.mIoContext, { { aAnswer } });
+    StoreClient client(mFixture.mIoContext, store.Address());
+    std::optional<bool> isTaken;
+    aCall(client, store.Address(), [&isTaken](ErrorOr<Value> aResult) {
+      isTaken = aResult.has_value();
+    });
+    mFixture.RunUntil([&isTaken] { return isTaken.has_value(); });
+    return *isTaken;
+  }
 };
 
+TEST(BrokenAnswer, AStatusOutOfRangeIsNone)
+{
+  for (const char* status : kStatuses) {
+    CheckIsNoAnswer(AnswerWithStatus(status));
+  }
+}
+
+TEST(BrokenAnswer, AStatusOutOfRangeBeginsNoStream)
+{
+  for (const char* status : kStatuses) {
+    CheckIsNoStream(AnswerWithStatus(status, kEventsType));
+  }
+}
+
+/// Such an answer does not tell that the request has not run.
+TEST(BrokenAnswer, AStatusOutOfRangePromisesNothing)
+{
+  for (const char* status : kStatuses) {
+    CheckIsNoAnswer(AnswerWithStatus(status, "Not-Executed: 1\r\n"));
+  }
+}
+
+TEST(BrokenAnswer, AStatusOutOfRangeDoesNotGoOnWithAStream)
+{
+  const Response response =
+    CallWith({ RawHead("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n") +
+                 "21\r\n" + EventsText(1, 1),
+               AnswerWithStatus("999", kEventsType) },
+             "/stream/x");
+  CHECK(mArrivals > 1);
+  CHECK(response.mResult != CallResult::Complete);
+  STRCMP_EQUAL(EventsText(1, 1).c_str(), response.mBody.c_str());
+}
+
+/// Guards against a status that is believed behind a refusal, although both
+/// must state that the request has not run.
+TEST(BrokenAnswer, AStatusOutOfRangeBehindARefusalMakesItDoubtful)
+{
+  LONGS_EQUAL(
+    502,
+    CallWith({ kRefusal + AnswerWithStatus("999", kNotExecuted) }, "/once/x")
+      .mHead.result_int());
+}
+
+TEST(BrokenAnswer, AStatusOutOfRangeBehindAnAnswerIsNotPassedOn)
+{
+  for (const char* status : kStatuses) {
+    CheckIsNoAnswer(RawHead("HTTP/1.1 200 OK") + "answer" +
+                    AnswerWithStatus(status));
+  }
+}
+
+TEST(BrokenAnswer, AStatusOutOfRangeIsCounted)
+{
+  CallWith({ AnswerWithStatus("999") }, "/once/x");
+  CHECK(Metrics().find("acaciavale_relay_broken_answers_total{pool=\"desk\","
+                       "reason=\"bad status\"} 1") != std::string::npos);
+}
+
 TEST(BrokenAnswer, AnInvalidLineInTheHeadIsCounted)
 {
   CallWith({ AnswerWithLine("X Field: a") }, "/once/x");
@@ -113,3 +209,66 @@
       EventsText(1, 1));
   }
 }
+
+/// The smaller model's answer is delivered in place of a larger one's that is
+/// broken.
+TEST(BrokenAnswer, OfTheLargerModelDoesNotCostTheSmallerOnes)
+{
+  for (const std::string& broken : { AnswerWithStatus("999", kEventsType) }) {
+    const std::string small =
+      RawHead("HTTP/1.1 200 OK",
+              std::string(kEventsType) + "Confidence: 5\r\n") +
+      EventsText(1, 2);
+    mEndpoint = std::make_unique<RawEndpoint>(
+      mFixture.mIoContext, [&](const std::string& aRequest) {
+        const bool isSmall = HeaderIn(aRequest, "Model") == "small";
+        return RawEndpoint::Answer{ { { isSmall ? small : broken } } };
+      });
+    mFixture.PutSettings(1);
+    List("i-1", "engines", *mEndpoint);
+    mFixture.StartNode();
+    const Response response =
+      mFixture.Call({ "POST",
+                      "/sized/x",
+                      "body",
+                      { { "Model", "*" }, { "Token-Usage", "4000,200" } } });
+    CHECK(mEndpoint->Arrivals() > 1);
+    LONGS_EQUAL(200, response.mHead.result_int());
+    STRCMP_EQUAL(EventsText(1, 2).c_str(), response.mBody.c_str());
+  }
+}
+
+TEST(BrokenAnswer, OfTheStoreAcknowledgesNothing)
+{
+  const std::string body = R"({"revision":5})";
+  const std::string length =
+    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  const auto write =
+    [](StoreClient& aClient, const std::string&, const auto& aCallback) {
+      aClient.Write({ StoreWrite{} }, aCallback);
+    };
+  CHECK(IsTaken<bool>("HTTP/1.1 200 OK\r\nStore-Era: 1\r\n" + length + body,
+                      write));
+  for (const char* status : kStatuses) {
+    CHECK_FALSE(IsTaken<bool>("HTTP/1.1 " + std::string(status) +
+                                " OK\r\nStore-Era: 1\r\n" + length + body,
+                              write));
+  }
+}
+
+/// A VM that believes the era drops all that it knows of the store.
+TEST(BrokenAnswer, OfTheStoreStatesNoEra)
+{
+  for (const char* head : { "HTTP/1.1 999 OK\r\nStore-Era: 7\r\n" }) {
+    RawEndpoint store(mFixture.mIoContext,
+                      { { std::string(head) + "\r\n{}" } });
+    StoreClient client(mFixture.mIoContext, store.Address());
+    bool hasEnded = false;
+    client.OnEra([](std::int64_t) { FAIL("The era was taken."); });
+    client.RenewLease(1, [&hasEnded](const ErrorOr<bool>& aResult) {
+      hasEnded = true;
+      CHECK_FALSE(aResult.has_value());
+    });
+    mFixture.RunUntil([&hasEnded] { return hasEnded; });
+  }
+}
--- a/include/Acaciavale/LibRelay/SecondResponse.h
+++ b/include/Acaciavale/LibRelay/SecondResponse.h
@@ -20,7 +20,8 @@
 struct SecondResponse
 {
   std::size_t mOffset = 0; ///< Its first byte, from the start of the body.
-  /// Its head; missing if only the beginning of the head was received.
+  /// Its head; missing if only the beginning of the head was received, or if
+  /// the head is not valid.
   std::optional<ResponseHead> mHead;
   /// Length of its body in bytes, if its head states one.
   std::optional<std::uint64_t> mStatedLength;
