Do not take a reset for the end of an answer

Cause: the operating system reports the loss of a connection once. A write that waits for the endpoint gets the error, and the read beside it then gets the end of the stream, which ends an answer that has neither a length nor chunks. With nothing to write, the read gets the error; with a length, the end comes early.

OutboundCall keeps the error of the write: an answer that only the end of the connection ends is then broken off. A broken pipe is no such error: the endpoint had closed its side before, so that what it sent is whole.

--- a/Libraries/LibRelay/OutboundCall.cpp
+++ b/Libraries/LibRelay/OutboundCall.cpp
@@ -251,7 +251,12 @@
     return;
   }
   if (mParser->is_done()) {
-    End(aSelf, CallResult::Complete);
+    // NOTE: The operating system reports the loss of a connection once. If the
+    //       write has got the error, the read gets the end of the stream.
+    const bool isCutOff = mParser->need_eof() && mWriteFailure;
+    End(aSelf,
+        isCutOff ? CallResult::Truncated : CallResult::Complete,
+        isCutOff ? mWriteFailure : error_code());
     return;
   }
   ReadBody(aSelf);
--- a/Libraries/LibRelay/OutboundCallPrivate.h
+++ b/Libraries/LibRelay/OutboundCallPrivate.h
@@ -66,6 +66,8 @@
   std::array<char, kReadBufferBytes> mReadBuffer{};
   bool mIsEnded = false; ///< No handler is called any more.
   error_code mFailure;   ///< Set at the end.
+  /// Why the connection was lost while the request was written.
+  error_code mWriteFailure;
   bool mIsWriting = false;
   /// Time for which the peer has taken nothing of the request.
   Duration mTimeWithoutProgress{};
--- a/Libraries/LibRelay/OutboundCallWriting.cpp
+++ b/Libraries/LibRelay/OutboundCallWriting.cpp
@@ -31,7 +31,8 @@
     asio::buffer(mHeadText), mBody ? asio::buffer(*mBody) : asio::const_buffer()
   };
   // NOTE: An endpoint may respond before it has read the body, so reading
-  //       starts at once. A failed write leads to an error of the read.
+  //       starts at once. A failed write leads to an error of the read, or to
+  //       the end of what can be read.
   asio::async_write(
     mSocket,
     buffers,
@@ -43,6 +44,11 @@
       Private& call = *aSelf->mPrivate;
       call.mIsWriting = false;
       call.mBody.reset();
+      // NOTE: A broken pipe means that the peer had ended its side before, so
+      //       that what it sent is complete.
+      if (aError != asio::error::broken_pipe) {
+        call.mWriteFailure = aError;
+      }
       if (!call.mIsEnded || !call.mSocket.is_open()) {
         return;
       }
