Reject answers with a transfer coding other than chunked

With Transfer-Encoding xchunked, gzip, "chunked, identity", "chunked, chunked", a quoted name or none, callers got the coded bytes, chunk sizes among them, as a whole answer; with "gzip, chunked" they got compressed bytes whose coding the head did not tell any more.

Cause: Beast takes a coding that it does not know for none, so that the body goes to the end of the connection. What is left of EndsWithConnection is whether there is a length or a coding at all.

--- a/Libraries/LibRelay/ExchangeResponses.cpp
+++ b/Libraries/LibRelay/ExchangeResponses.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <utility>
 
 namespace Acaciavale::Relay {
@@ -64,17 +63,8 @@
 
 bool EndsWithConnection(const ResponseHead& aHead)
 {
-  // NOTE: Chunks are the last coding, or there are none.
-  const auto codings = aHead.equal_range(http::field::transfer_encoding);
-  if (codings.first == codings.second) {
-    return aHead.count(http::field::content_length) == 0;
-  }
-  std::string last;
-  for (const auto coding :
-       http::token_list(std::prev(codings.second)->value())) {
-    last = std::string(coding);
-  }
-  return !boost::beast::iequals(last, "chunked");
+  return aHead.count(http::field::transfer_encoding) == 0 &&
+         aHead.count(http::field::content_length) == 0;
 }
 
 Duration Exchange::FirstEventTimeout(double aExpectedSeconds) const
--- a/Tests/Platform/TestBrokenAnswer.cpp
+++ b/Tests/Platform/TestBrokenAnswer.cpp
@@ -11,6 +11,19 @@
 
 constexpr const char* kStatuses[] = { "000", "001", "099", "600", "999" };
 
+constexpr const char* kUnsupportedCodings[] = { "xchunked",
+                                                "gzip",
+                                                "gzip, chunked",
+                                                "chunked, identity",
+                                                "chunked, chunked",
+                                                "chunked\r\nX-Field: a\r\n"
+                                                "Transfer-Encoding: identity",
+                                                "gzip\r\nX-Field: a\r\n"
+                                                "Transfer-Encoding: chunked",
+                                                "chunked;a=b",
+                                                "\"chunked\"",
+                                                "" };
+
 /// Lines of a head that are no fields.
 constexpr std::string_view kInvalidLines[] = {
   "X Field: a",     "X-Field : a", " : a", "X\x01-Field: a",     "X\t-Field: a",
@@ -28,6 +41,13 @@
 
 const std::string kWholeStream = RawHead("HTTP/1.1 200 OK") + EventsText(1, 2);
 
+constexpr char kChunkedAnswer[] = "6\r\nanswer\r\n0\r\n\r\n";
+
+std::string ChunkedEvents()
+{
+  return "21\r\n" + EventsText(1, 1) + "\r\n0\r\n\r\n";
+}
+
 std::string AnswerWithStatus(const std::string& aStatus,
                              const std::string& aFields = {})
 {
@@ -36,6 +56,15 @@
          "answer";
 }
 
+std::string AnswerWithCoding(const std::string& aCoding,
+                             const std::string& aFields = {},
+                             const std::string& aBody = kChunkedAnswer)
+{
+  return RawHead("HTTP/1.1 200 OK",
+                 aFields + "Transfer-Encoding: " + aCoding + "\r\n") +
+         aBody;
+}
+
 std::string AnswerWithLine(std::string_view aLine)
 {
   return RawHead("HTTP/1.1 200 OK",
@@ -187,6 +216,55 @@
                        "reason=\"bad status\"} 1") != std::string::npos);
 }
 
+TEST(BrokenAnswer, AnUnsupportedTransferCodingIsNone)
+{
+  for (const char* coding : kUnsupportedCodings) {
+    CheckIsNoAnswer(AnswerWithCoding(coding));
+  }
+}
+
+TEST(BrokenAnswer, AnUnsupportedTransferCodingBeginsNoStream)
+{
+  for (const char* coding : kUnsupportedCodings) {
+    CheckIsNoStream(AnswerWithCoding(coding, kEventsType, EventsText(1, 1)));
+  }
+}
+
+TEST(BrokenAnswer, AnUnsupportedTransferCodingPromisesNothing)
+{
+  CheckIsNoAnswer(AnswerWithCoding("xchunked", kNotExecuted));
+  LONGS_EQUAL(502,
+              CallWith({ kRefusal + RawHead("HTTP/1.1 503 Unavailable",
+                                            std::string(kNotExecuted) +
+                                              "Transfer-Encoding: gzip\r\n") },
+                       "/once/x")
+                .mHead.result_int());
+}
+
+TEST(BrokenAnswer, AnUnsupportedTransferCodingBehindAnAnswerIsNotPassedOn)
+{
+  CheckIsNoAnswer(RawHead("HTTP/1.1 200 OK") + "answer" +
+                  AnswerWithCoding("xchunked"));
+}
+
+TEST(BrokenAnswer, AnUnsupportedTransferCodingIsCounted)
+{
+  CallWith({ AnswerWithCoding("xchunked") }, "/once/x");
+  CHECK(Metrics().find("acaciavale_relay_broken_answers_total{pool=\"desk\","
+                       "reason=\"bad Transfer-Encoding\"} 1") !=
+        std::string::npos);
+}
+
+/// Guards against a check that rejects valid heads.
+TEST(BrokenAnswer, TheChunkedCodingIsDecoded)
+{
+  for (const char* coding : { "chunked", "Chunked", " chunked ", "CHUNKED" }) {
+    const Response response = CallWith({ AnswerWithCoding(coding) }, "/once/x");
+    LONGS_EQUAL_TEXT(200, response.mHead.result_int(), coding);
+    STRCMP_EQUAL("answer", response.mBody.c_str());
+  }
+}
+
 TEST(BrokenAnswer, AnInvalidLineInTheHeadIsCounted)
 {
   CallWith({ AnswerWithLine("X Field: a") }, "/once/x");
@@ -214,7 +292,9 @@
 /// broken.
 TEST(BrokenAnswer, OfTheLargerModelDoesNotCostTheSmallerOnes)
 {
-  for (const std::string& broken : { AnswerWithStatus("999", kEventsType) }) {
+  for (const std::string& broken :
+       { AnswerWithStatus("999", kEventsType),
+         AnswerWithCoding("xchunked", kEventsType, ChunkedEvents()) }) {
     const std::string small =
       RawHead("HTTP/1.1 200 OK",
               std::string(kEventsType) + "Confidence: 5\r\n") +
@@ -238,6 +318,45 @@
   }
 }
 
+/// A candidate that states its load in such an answer has stated none.
+TEST(BrokenAnswer, ToAnInquiryStatesNoLoad)
+{
+  const std::string load = "Replica-Load: 0,0,4,100\r\n";
+  const auto script = [&load](const std::string& aRequest) {
+    const std::string health =
+      "HTTP/1.1 200 OK\r\n" + load + "Transfer-Encoding: xchunked\r\n\r\n";
+    const std::string stream =
+      RawHead("HTTP/1.1 200 OK", load) + EventsText(1, 1);
+    return RawEndpoint::Answer{
+      { { aRequest.starts_with("GET /health") ? health : stream } },
+      RawEndpoint::End::Close
+    };
+  };
+  RawEndpoint first(mFixture.mIoContext, script);
+  RawEndpoint second(mFixture.mIoContext, script);
+  mFixture.PutSettings(1);
+  std::string settings = *mFixture.mStore.Value("op/config");
+  const std::string name = "\"name\":\"engines\"";
+  settings.insert(settings.find(name) + name.size(),
+                  ",\"health-path\":\"/health\"");
+  mFixture.mStore.Put("op/config", settings);
+  List("i-1", "engines", first);
+  List("i-2", "engines", second);
+  mFixture.StartNode();
+  for (int request = 0; request < 4; ++request) {
+    LONGS_EQUAL(200, Call("/fixed/x").mHead.result_int());
+  }
+  const Response response = mFixture.Call(
+    { "POST", "/fixed/x", "body", { { "Token-Usage", "12000,10" } } });
+  LONGS_EQUAL(200, response.mHead.result_int());
+  const std::string metrics = Metrics();
+  CHECK(metrics.find("acaciavale_relay_inquiries_total{outcome=\"no-answer\","
+                     "pool=\"engines\"} 1") != std::string::npos);
+  CHECK(metrics.find("acaciavale_relay_broken_answers_total{pool=\"engines\","
+                     "reason=\"bad Transfer-Encoding\"} 2") !=
+        std::string::npos);
+}
+
 TEST(BrokenAnswer, OfTheStoreAcknowledgesNothing)
 {
   const std::string body = R"({"revision":5})";
@@ -249,6 +368,12 @@
     };
   CHECK(IsTaken<bool>("HTTP/1.1 200 OK\r\nStore-Era: 1\r\n" + length + body,
                       write));
+  for (const char* coding : kUnsupportedCodings) {
+    CHECK_FALSE(IsTaken<bool>("HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
+                              "Transfer-Encoding: " +
+                                std::string(coding) + "\r\n\r\n" + body,
+                              write));
+  }
   for (const char* status : kStatuses) {
     CHECK_FALSE(IsTaken<bool>("HTTP/1.1 " + std::string(status) +
                                 " OK\r\nStore-Era: 1\r\n" + length + body,
@@ -259,7 +384,9 @@
 /// A VM that believes the era drops all that it knows of the store.
 TEST(BrokenAnswer, OfTheStoreStatesNoEra)
 {
-  for (const char* head : { "HTTP/1.1 999 OK\r\nStore-Era: 7\r\n" }) {
+  for (const char* head : { "HTTP/1.1 999 OK\r\nStore-Era: 7\r\n",
+                            "HTTP/1.1 200 OK\r\nStore-Era: 7\r\n"
+                            "Transfer-Encoding: xchunked\r\n" }) {
     RawEndpoint store(mFixture.mIoContext,
                       { { std::string(head) + "\r\n{}" } });
     StoreClient client(mFixture.mIoContext, store.Address());
@@ -272,3 +399,20 @@
     mFixture.RunUntil([&hasEnded] { return hasEnded; });
   }
 }
+
+TEST(BrokenAnswer, OfAnotherVmIsNoSnapshot)
+{
+  const std::string body = EncodeSnapshotAnswer(SnapshotAnswer{});
+  const auto query = [](StoreClient& aClient,
+                        const std::string& aAddress,
+                        const auto& aCallback) {
+    aClient.QueryPeer(aAddress, SnapshotQuery{}, aCallback);
+  };
+  CHECK(IsTaken<SnapshotAnswer>("HTTP/1.1 200 OK\r\n\r\n" + body, query));
+  for (const char* coding : kUnsupportedCodings) {
+    CHECK_FALSE(IsTaken<SnapshotAnswer>(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+        "\r\n\r\n" + body,
+      query));
+  }
+}
