Refuse requests with a transfer coding other than chunked

A request with an unknown transfer coding went to its endpoint without a body, and its body was read as the next request of the connection; with "gzip, chunked" the endpoint got compressed bytes without being told.

Cause: as for answers, Beast takes an unknown coding for none, and a request without a length has no body. The session now refuses such a request with 400 if chunks are not its last coding, and with 501 if others stand before them, and closes the connection, as RFC 9112 asks.

--- a/Libraries/LibRelay/ClientSessionPrivate.h
+++ b/Libraries/LibRelay/ClientSessionPrivate.h
@@ -109,6 +109,9 @@
   void HandleRequest(const std::shared_ptr<ClientSession>& aSelf);
   void Reject(const std::shared_ptr<ClientSession>& aSelf,
               const error_code& aError);
+  void RefuseUnreadable(const std::shared_ptr<ClientSession>& aSelf,
+                        http::status aStatus,
+                        const error_code& aError);
   /// Responds to a request that has not been read to its end.
   void RefuseIncomplete(const std::shared_ptr<ClientSession>& aSelf,
                         http::status aStatus);
--- a/Libraries/LibRelay/ClientSessionReading.cpp
+++ b/Libraries/LibRelay/ClientSessionReading.cpp
@@ -1,4 +1,5 @@
 #include "ClientSessionPrivate.h"
+#include "HeadCheck.h"
 
 #include <Acaciavale/LibCore/Log.h>
 
@@ -109,10 +110,26 @@
 void ClientSession::Private::OnHeadRead(
   const std::shared_ptr<ClientSession>& aSelf)
 {
-  if (mParser->is_header_done()) {
-    ReadRequestBody(aSelf);
-  } else {
+  if (!mParser->is_header_done()) {
     ReadMoreOfHead(aSelf);
+    return;
+  }
+  // NOTE: The library takes an unknown coding for no body, and the body for the
+  //       next request.
+  switch (TransferCodingOf(mParser->get().base())) {
+    case TransferCoding::None:
+    case TransferCoding::Chunked:
+      ReadRequestBody(aSelf);
+      break;
+    case TransferCoding::Unsupported:
+      RefuseUnreadable(aSelf,
+                       http::status::not_implemented,
+                       http::error::bad_transfer_encoding);
+      break;
+    case TransferCoding::Invalid:
+      RefuseUnreadable(
+        aSelf, http::status::bad_request, http::error::bad_transfer_encoding);
+      break;
   }
 }
 
@@ -255,13 +272,21 @@
     Close();
     return;
   }
+  RefuseUnreadable(aSelf, status, aError);
+}
+
+void ClientSession::Private::RefuseUnreadable(
+  const std::shared_ptr<ClientSession>& aSelf,
+  http::status aStatus,
+  const error_code& aError)
+{
   Log(LogLevel::Info,
       "session",
       "Cannot read the request of a caller.",
       { { "error", aError.message() },
         { "refused-field-bytes",
           std::to_string(mParser->RefusedFieldBytes()) } });
-  RefuseIncomplete(aSelf, status);
+  RefuseIncomplete(aSelf, aStatus);
 }
 
 void ClientSession::Private::RefuseIncomplete(
