Test that serve takes no reset for the end of an answer

libcurl reports the failed write of an upload, so that an early answer without a length, whose connection is reset while the request is written, is a lost attempt, and a write to the store an unknown one. No code of the product changes.

--- a/Tests/LibEndpoint/ScriptedEndpoint.h
+++ b/Tests/LibEndpoint/ScriptedEndpoint.h
@@ -33,6 +33,8 @@
 
   int mRequests = 0;
   int mConnections = 0;
+  /// Whether the script handles a request when its first bytes were read.
+  bool mAnswersEarly = false;
   std::string mLastRequest; ///< The last complete request with its head.
 
 private:
@@ -61,13 +63,15 @@
           return;
         }
         received.append(bytes->data(), aCount);
-        if (!IsComplete(received)) {
+        if (!mAnswersEarly && !IsComplete(received)) {
           Read(aSocket, std::move(received));
           return;
         }
         mLastRequest = std::move(received);
         mScript(*aSocket, ++mRequests);
-        if (aSocket->is_open()) {
+        if (mAnswersEarly) {
+          mEarlySocket = aSocket;
+        } else if (aSocket->is_open()) {
           Read(aSocket);
         }
       });
@@ -89,6 +93,8 @@
 
   asio::ip::tcp::acceptor mAcceptor;
   Script mScript;
+  /// Keeps the connection of the latest early answer open.
+  std::shared_ptr<asio::ip::tcp::socket> mEarlySocket;
 };
 
 inline void WriteText(asio::ip::tcp::socket& aSocket, const std::string& aText)
@@ -96,4 +102,10 @@
   asio::write(aSocket, asio::buffer(aText));
 }
 
+inline void Reset(asio::ip::tcp::socket& aSocket)
+{
+  aSocket.set_option(asio::socket_base::linger(true, 0));
+  aSocket.close();
+}
+
 } // namespace Acaciavale
--- a/Tests/LibEndpoint/TestEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestEndpointClient.cpp
@@ -1,6 +1,7 @@
 #include "ScriptedEndpoint.h"
 
 #include <Acaciavale/LibEndpoint/EndpointClient.h>
+#include <asio/steady_timer.hpp>
 #include <optional>
 
 #include <CppUTest/TestHarness.h>
@@ -12,6 +13,9 @@
 constexpr const char* kHelloResponse =
   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Request-Id: r1\r\n\r\nhello";
 
+/// More than the buffers of both sockets take.
+constexpr std::size_t kUploadBytes = 12U << 20;
+
 EndpointRequest MakeRequest(const std::string& aAddress)
 {
   EndpointRequest request;
@@ -273,3 +277,29 @@
   LONGS_EQUAL(200, result.mStatus);
   STRCMP_EQUAL("hello", body.c_str());
 }
+
+TEST(EndpointClient, AnAnswerThatIsResetDuringTheUploadIsNone)
+{
+  EndpointClient client(mContext);
+  for (const char* head : { "HTTP/1.1 200 OK\r\n\r\n",
+                            "HTTP/1.0 200 OK\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                            "HTTP/1.1 103 Early Hints\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\n\r\n" }) {
+    for (const char* part : { "part", "" }) {
+      asio::steady_timer timer(mContext);
+      ScriptedEndpoint endpoint(mContext, [&](auto& aSocket, int) {
+        WriteText(aSocket, std::string(head) + part);
+        timer.expires_after(std::chrono::milliseconds(50));
+        timer.async_wait(
+          [&aSocket](const std::error_code&) { Reset(aSocket); });
+      });
+      endpoint.mAnswersEarly = true;
+      EndpointRequest request = MakeRequest(endpoint.Address());
+      request.mBody.assign(kUploadBytes, 'b');
+      const auto [result, body] =
+        RunRequest(mContext, client, std::move(request));
+      CHECK_TEXT(result.mOutcome == TransferOutcome::ConnectionLost, head);
+    }
+  }
+}
--- a/Tests/LibPlatform/TestCutOffStoreAnswer.cpp
+++ b/Tests/LibPlatform/TestCutOffStoreAnswer.cpp
@@ -9,13 +9,19 @@
 
 namespace {
 
-/// A store that writes the first bytes of an answer to each call and closes the
-/// connection.
+constexpr std::chrono::milliseconds kPause(50);
+/// More than the buffers of both sockets take.
+constexpr std::size_t kUploadBytes = 12U << 20;
+constexpr char kWritten[] = R"({"revision":7})";
+
+/// A store that writes the bytes to each call and ends the connection.
 struct CutOffStore
 {
-  explicit CutOffStore(std::string aBytes)
+  explicit CutOffStore(std::string aBytes, bool aResetsEarly = false)
     : mBytes(std::move(aBytes))
+    , mResetsEarly(aResetsEarly)
   {
+    mEndpoint.mAnswersEarly = aResetsEarly;
   }
 
   ~CutOffStore()
@@ -35,10 +41,17 @@
   }
 
   std::string mBytes;
+  /// Whether the connection is reset while the call is written.
+  bool mResetsEarly;
   asio::io_context mContext{ 1 };
   ScriptedEndpoint mEndpoint{ mContext, [this](auto& aSocket, int) {
                                WriteText(aSocket, mBytes);
-                               aSocket.close();
+                               if (mResetsEarly) {
+                                 std::this_thread::sleep_for(kPause);
+                                 Reset(aSocket);
+                               } else {
+                                 aSocket.close();
+                               }
                              } };
   std::thread mThread{ [this] { mContext.run(); } };
 };
@@ -73,3 +86,13 @@
     CHECK(revision.error().mCode == ErrorCode::OutcomeUnknown);
   }
 }
+
+TEST(CutOffStoreAnswer, ThatIsResetDuringTheCallAcknowledgesNothing)
+{
+  CutOffStore store(std::string("HTTP/1.1 200 OK\r\n\r\n") + kWritten, true);
+  HttpKeyValueClient client(store.ClientOptions());
+  const auto revision = client.Store().mCompareAndSwap(
+    { "a", std::string(kUploadBytes, 'b'), 0, 0 });
+  CHECK_FALSE(revision.has_value());
+  CHECK(revision.error().mCode == ErrorCode::OutcomeUnknown);
+}
