serve: reject answers whose status is not one of HTTP

Callers of serve got answers of status 600 and 999 as they came. 000, 001 and 099 were lost attempts already, as libcurl takes them for no status.

Cause: libcurl takes any three digits. ResponseHeadProgress, by which both clients follow the head, now notes a status outside 100 to 599, and the transfer ends there: an attempt is lost, a write to the store unknown. The detail in the decision and the error names the head.

--- a/Libraries/LibCore/ResponseHeadProgress.cpp
+++ b/Libraries/LibCore/ResponseHeadProgress.cpp
@@ -1,5 +1,8 @@
 #include <Acaciavale/LibCore/ResponseHeadProgress.h>
 
+#include <algorithm>
+#include <cctype>
+
 namespace Acaciavale {
 
 namespace {
@@ -8,6 +11,30 @@
 constexpr std::size_t kMaximumLines = 512;
 constexpr std::size_t kMaximumBytes = 64U << 10;
 
+constexpr std::size_t kStatusDigits = 3;
+constexpr std::string_view kBlanks = " \t\r\n";
+
+/// The status in a status line; empty if there is none.
+std::string_view StatusIn(std::string_view aLine)
+{
+  const std::size_t blank = aLine.find(' ');
+  if (blank == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view rest = aLine.substr(blank + 1);
+  return rest.substr(0, rest.find_first_of(kBlanks));
+}
+
+/// RFC 9110, section 15: from 100 to 599.
+bool IsStatusOfHttp(std::string_view aStatus)
+{
+  return aStatus.size() == kStatusDigits && aStatus[0] >= '1' &&
+         aStatus[0] <= '5' &&
+         std::all_of(aStatus.begin(), aStatus.end(), [](unsigned char aDigit) {
+           return std::isdigit(aDigit) != 0;
+         });
+}
+
 } // namespace
 
 bool IsStatusLine(std::string_view aLine)
@@ -21,11 +48,10 @@
   aProgress.mLines += 1;
   aProgress.mBytes += aLine.size();
   if (IsStatusLine(aLine)) {
-    const std::size_t status = aLine.find(' ');
-    const bool isInterim = status != std::string_view::npos &&
-                           aLine.substr(status + 1).starts_with('1');
-    aProgress.mIsInterim = isInterim;
+    const std::string_view status = StatusIn(aLine);
+    aProgress.mIsInterim = status.starts_with('1');
     aProgress.mIsComplete = false;
+    aProgress.mIsInvalid = aProgress.mIsInvalid || !IsStatusOfHttp(status);
     return aProgress;
   }
   const bool isEnd = aLine == "\r\n" || aLine == "\n";
@@ -35,9 +61,15 @@
   return aProgress;
 }
 
-bool IsHeadTooLarge(const ResponseHeadProgress& aProgress)
+std::string_view HeadProblem(const ResponseHeadProgress& aProgress)
 {
-  return aProgress.mLines > kMaximumLines || aProgress.mBytes > kMaximumBytes;
+  if (aProgress.mIsInvalid) {
+    return "The status is not valid.";
+  }
+  if (aProgress.mLines > kMaximumLines || aProgress.mBytes > kMaximumBytes) {
+    return "The head is too large.";
+  }
+  return {};
 }
 
 } // namespace Acaciavale
--- a/Libraries/LibEndpoint/EndpointClient.cpp
+++ b/Libraries/LibEndpoint/EndpointClient.cpp
@@ -120,7 +120,7 @@
   ParseHeaderLine(transfer.mHeaders, line);
   // NOTE: Returning less than the received size makes libcurl abort the
   //       transfer.
-  return IsHeadTooLarge(transfer.mHeadProgress) ? 0 : aSize * aCount;
+  return HeadProblem(transfer.mHeadProgress).empty() ? aSize * aCount : 0;
 }
 
 std::size_t OnBodyBytes(char* aBytes,
@@ -159,9 +159,14 @@
   TransferResult result;
   const bool hasHead = aTransfer.mHeadProgress.mIsComplete;
   result.mStatus = hasHead ? static_cast<int>(status) : 0;
-  result.mDetail = aCurlCode == CURLE_OK && !hasHead
-                     ? "The connection was closed within the head."
-                     : curl_easy_strerror(aCurlCode);
+  const std::string_view problem = HeadProblem(aTransfer.mHeadProgress);
+  if (!problem.empty()) {
+    result.mDetail = problem;
+  } else if (aCurlCode == CURLE_OK && !hasHead) {
+    result.mDetail = "The connection was closed within the head.";
+  } else {
+    result.mDetail = curl_easy_strerror(aCurlCode);
+  }
   if (aCurlCode == CURLE_OK && hasHead) {
     result.mOutcome = TransferOutcome::Complete;
   } else if (requestBytesSent == 0) {
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -75,7 +75,7 @@
 {
   auto& progress = *static_cast<ResponseHeadProgress*>(aProgress);
   progress = WithHeadLine(progress, { aBytes, aSize * aCount });
-  return IsHeadTooLarge(progress) ? 0 : aSize * aCount;
+  return HeadProblem(progress).empty() ? aSize * aCount : 0;
 }
 
 long Milliseconds(Duration aTime)
@@ -225,9 +225,10 @@
   const CURLcode result = curl_easy_perform(handle.get());
   if (result != CURLE_OK) {
     const bool arrived = MayHaveArrived(handle.get(), result);
-    return MakeError(arrived ? ErrorCode::OutcomeUnknown
-                             : ErrorCode::Unavailable,
-                     curl_easy_strerror(result));
+    const std::string_view problem = HeadProblem(headProgress);
+    return MakeError(
+      arrived ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
+      problem.empty() ? curl_easy_strerror(result) : std::string(problem));
   }
   if (!headProgress.mIsComplete) {
     return MakeError(ErrorCode::OutcomeUnknown,
--- a/Tests/LibEndpoint/ScriptedEndpoint.h
+++ b/Tests/LibEndpoint/ScriptedEndpoint.h
@@ -97,6 +97,15 @@
   std::shared_ptr<asio::ip::tcp::socket> mEarlySocket;
 };
 
+/// Status lines and fields of heads that make an answer invalid.
+constexpr const char* kBrokenHeads[] = {
+  "HTTP/1.1 000 OK\r\nContent-Length: 6\r\n",
+  "HTTP/1.1 001 OK\r\nContent-Length: 6\r\n",
+  "HTTP/1.1 099 OK\r\nContent-Length: 6\r\n",
+  "HTTP/1.1 600 OK\r\nContent-Length: 6\r\n",
+  "HTTP/1.1 999 OK\r\nContent-Length: 6\r\n",
+};
+
 inline void WriteText(asio::ip::tcp::socket& aSocket, const std::string& aText)
 {
   asio::write(aSocket, asio::buffer(aText));
--- a/Tests/LibEndpoint/TestEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestEndpointClient.cpp
@@ -278,6 +278,22 @@
   STRCMP_EQUAL("hello", body.c_str());
 }
 
+TEST(EndpointClient, AnAnswerWithAnInvalidHeadIsNone)
+{
+  EndpointClient client(mContext);
+  for (const char* head : kBrokenHeads) {
+    ScriptedEndpoint endpoint(mContext, [head](auto& aSocket, int) {
+      WriteText(aSocket, std::string(head) + "\r\n6\r\nanswer\r\n0\r\n\r\n");
+      aSocket.close();
+    });
+    const auto [result, body] =
+      RunRequest(mContext, client, MakeRequest(endpoint.Address()));
+    CHECK_TEXT(result.mOutcome == TransferOutcome::ConnectionLost, head);
+    LONGS_EQUAL_TEXT(0, result.mStatus, head);
+    STRCMP_EQUAL_TEXT("", body.c_str(), head);
+  }
+}
+
 TEST(EndpointClient, AnAnswerThatIsResetDuringTheUploadIsNone)
 {
   EndpointClient client(mContext);
--- a/Tests/LibPlatform/TestCutOffStoreAnswer.cpp
+++ b/Tests/LibPlatform/TestCutOffStoreAnswer.cpp
@@ -87,6 +87,21 @@
   }
 }
 
+TEST(CutOffStoreAnswer, WithAnInvalidHeadTellsNothing)
+{
+  for (const std::string head : kBrokenHeads) {
+    CutOffStore store(head + "\r\n" + kWritten);
+    HttpKeyValueClient client(store.ClientOptions());
+    const auto entry = client.Store().mRead("a");
+    CHECK_TEXT(!entry.has_value(), head.c_str());
+    CHECK_TEXT(entry.error().mCode == ErrorCode::Unavailable, head.c_str());
+    const auto revision = client.Store().mCompareAndSwap({ "a", "one", 0, 0 });
+    CHECK_TEXT(!revision.has_value(), head.c_str());
+    CHECK_TEXT(revision.error().mCode == ErrorCode::OutcomeUnknown,
+               head.c_str());
+  }
+}
+
 TEST(CutOffStoreAnswer, ThatIsResetDuringTheCallAcknowledgesNothing)
 {
   CutOffStore store(std::string("HTTP/1.1 200 OK\r\n\r\n") + kWritten, true);
