serve: reject answers with a transfer coding other than chunked

With Transfer-Encoding identity or an empty one, callers of serve got the coded bytes, chunk sizes among them, as a whole answer, and the store's answer to a write was believed; "chunked, identity" and "chunked, chunked" were decoded once. xchunked, gzip and a quoted name were lost attempts already.

ResponseHeadProgress now notes each coding but a single chunked. The comparison of names moves to LibCore, as both libraries need it.

--- a/Libraries/LibCore/ResponseHeadProgress.cpp
+++ b/Libraries/LibCore/ResponseHeadProgress.cpp
@@ -1,4 +1,5 @@
 #include <Acaciavale/LibCore/ResponseHeadProgress.h>
+#include <Acaciavale/LibCore/Text.h>
 
 #include <algorithm>
 #include <cctype>
@@ -14,6 +15,15 @@
 constexpr std::size_t kStatusDigits = 3;
 constexpr std::string_view kBlanks = " \t\r\n";
 
+std::string_view WithoutBlanks(std::string_view aText)
+{
+  const std::size_t begin = aText.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(begin, aText.find_last_not_of(kBlanks) + 1 - begin);
+}
+
 /// The status in a status line; empty if there is none.
 std::string_view StatusIn(std::string_view aLine)
 {
@@ -52,8 +62,20 @@
     aProgress.mIsInterim = status.starts_with('1');
     aProgress.mIsComplete = false;
     aProgress.mIsInvalid = aProgress.mIsInvalid || !IsStatusOfHttp(status);
+    aProgress.mHasTransferCoding = false;
     return aProgress;
   }
+  const std::size_t colon = aLine.find(':');
+  const bool isTransferCoding =
+    !aProgress.mIsComplete && colon != std::string_view::npos &&
+    EqualsIgnoringCase(aLine.substr(0, colon), "Transfer-Encoding");
+  if (isTransferCoding) {
+    const bool isSupported =
+      !aProgress.mHasTransferCoding &&
+      EqualsIgnoringCase(WithoutBlanks(aLine.substr(colon + 1)), "chunked");
+    aProgress.mIsInvalid = aProgress.mIsInvalid || !isSupported;
+    aProgress.mHasTransferCoding = true;
+  }
   const bool isEnd = aLine == "\r\n" || aLine == "\n";
   if (isEnd) {
     aProgress.mIsComplete = !aProgress.mIsInterim;
@@ -64,7 +86,7 @@
 std::string_view HeadProblem(const ResponseHeadProgress& aProgress)
 {
   if (aProgress.mIsInvalid) {
-    return "The status is not valid.";
+    return "The status or the transfer coding is not valid.";
   }
   if (aProgress.mLines > kMaximumLines || aProgress.mBytes > kMaximumBytes) {
     return "The head is too large.";
--- a/Libraries/LibEndpoint/EndpointClient.cpp
+++ b/Libraries/LibEndpoint/EndpointClient.cpp
@@ -1,4 +1,5 @@
 #include <Acaciavale/LibCore/ResponseHeadProgress.h>
+#include <Acaciavale/LibCore/Text.h>
 #include <Acaciavale/LibEndpoint/EndpointClient.h>
 
 #include <asio/io_context.hpp>
@@ -6,7 +7,6 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
-#include <strings.h>
 #include <unordered_map>
 
 namespace Acaciavale {
@@ -67,12 +67,6 @@
   return aText;
 }
 
-bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return aLeft.size() == aRight.size() &&
-         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
-}
-
 void ParseHeaderLine(EndpointResponseHeaders& aHeaders, std::string_view aLine)
 {
   const std::size_t colon = aLine.find(':');
--- a/Tests/LibEndpoint/ScriptedEndpoint.h
+++ b/Tests/LibEndpoint/ScriptedEndpoint.h
@@ -104,6 +104,15 @@
   "HTTP/1.1 099 OK\r\nContent-Length: 6\r\n",
   "HTTP/1.1 600 OK\r\nContent-Length: 6\r\n",
   "HTTP/1.1 999 OK\r\nContent-Length: 6\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, identity\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: \"chunked\"\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: \r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+  "Transfer-Encoding: chunked\r\n",
 };
 
 inline void WriteText(asio::ip::tcp::socket& aSocket, const std::string& aText)
--- a/include/Acaciavale/LibCore/ResponseHeadProgress.h
+++ b/include/Acaciavale/LibCore/ResponseHeadProgress.h
@@ -14,8 +14,9 @@
   bool mIsInterim =
     false; ///< The latest status line is that of a 1xx response.
   bool mIsComplete = false; ///< The head of the final response has ended.
-  /// A status is not one of HTTP.
+  /// A status is not one of HTTP, or the body could not be decoded.
   bool mIsInvalid = false;
+  bool mHasTransferCoding = false;
   /// Lines and bytes of all heads, also of interim responses, and of trailers.
   std::size_t mLines = 0;
   std::size_t mBytes = 0;
