serve: refuse requests whose chunks hold another coding

A request with Transfer-Encoding "gzip, chunked" was handled with its compressed bytes as the body. Such a request now gets 501, not run. Other unknown codings were refused already: the parser closes the connection.

--- a/Libraries/LibServer/HttpListener.cpp
+++ b/Libraries/LibServer/HttpListener.cpp
@@ -2,6 +2,7 @@
 
 #include "Problem.h"
 
+#include <Acaciavale/LibCore/Text.h>
 #include <atomic>
 #include <restinio/all.hpp>
 #include <unordered_map>
@@ -101,6 +102,22 @@
   return aRequest.header().get_field_or(aName, std::string{});
 }
 
+/// Whether the body was decoded. RESTinio decodes chunks, and leaves other
+/// codings before them as they are.
+bool IsBodyDecoded(const restinio::request_t& aRequest)
+{
+  using Fields = restinio::http_header_fields_t;
+  bool isDecoded = true;
+  aRequest.header().for_each_value_of(
+    restinio::http_field::transfer_encoding,
+    [&isDecoded](restinio::string_view_t aValue) {
+      isDecoded = isDecoded && EqualsIgnoringCase(
+                                 { aValue.data(), aValue.size() }, "chunked");
+      return Fields::continue_enumeration();
+    });
+  return isDecoded;
+}
+
 CallerRequest MakeCallerRequest(const restinio::request_t& aRequest)
 {
   CallerRequest request;
@@ -254,6 +271,15 @@
                            std::chrono::seconds(1) });
       return restinio::request_accepted();
     }
+    if (!IsBodyDecoded(*aRequest)) {
+      SendProblem(response,
+                  Problem{ 501,
+                           "transfer-coding",
+                           "The transfer coding of the body is not supported.",
+                           "Send the body with a length or in chunks.",
+                           Executed::No });
+      return restinio::request_accepted();
+    }
     const std::string& body = aRequest->body();
     if (static_cast<std::int64_t>(body.size()) > mLimits.mMaxBodyBytes) {
       SendProblem(response,
--- a/Libraries/LibServer/Problem.cpp
+++ b/Libraries/LibServer/Problem.cpp
@@ -40,6 +40,8 @@
       return "Unprocessable Entity";
     case 429:
       return "Too Many Requests";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
