--- a/include/Acaciavale/LibCore/Text.h
+++ b/include/Acaciavale/LibCore/Text.h
@@ -4,7 +4,7 @@
 
 namespace Acaciavale {
 
-/// Compares names of the wire, whose letters are those of ASCII.
+/// Compares ASCII texts, such as the names of header fields.
 bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight);
 
 } // namespace Acaciavale
